--- /dev/null
+++ b/samphiredrum.go
@@ -0,0 +1,2 @@
+// Package samphiredrum routes calls to backend servers that own keys exclusively.
+package samphiredrum
