--- /dev/null
+++ b/internal/peer/message.go
@@ -0,0 +1,154 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/samphiredrum/samphiredrum/pkg/assign"
+	"github.com/samphiredrum/samphiredrum/pkg/event"
+)
+
+// Header is carried by every message.
+type Header struct {
+	// From is the sender.
+	From assign.ProcessID
+	// Logical is the sender's Lamport clock, which orders events of all processes.
+	Logical uint64
+}
+
+// Team is one team's configuration at one version of its object.
+type Team struct {
+	Name    string
+	Version uint64
+	Text    []byte
+}
+
+// State is what a process holds: its assignment table and configuration.
+type State struct {
+	// Table is nil where the process has received none.
+	Table *assign.Table
+	Teams []Team
+}
+
+// ClaimRequest asks an elector for its promise to a new decider.
+type ClaimRequest struct {
+	Header
+	Term uint64
+}
+
+// ClaimAnswer is the elector's answer, with its state, from which a new decider starts.
+type ClaimAnswer struct {
+	Header
+	Granted     bool
+	HighestTerm uint64
+	State       State
+}
+
+// BeatRequest is the decider's heartbeat. It renews the decider's term and the receiver's serving
+// lease, and carries what the receiver has not acknowledged yet.
+type BeatRequest struct {
+	Header
+	Term uint64
+	// Echo is the Stamp of the receiver's last answer, the zero time where there was none.
+	Echo time.Time
+	// Lease is the length of the serving lease, counted from Echo. Zero grants none.
+	Lease time.Duration
+	// Table is nil where the receiver has acknowledged the current version.
+	Table *assign.Table
+	// Teams are the teams of which the receiver holds a lower version.
+	Teams []Team
+	// Versions are the versions in force of all teams.
+	Versions map[string]uint64
+}
+
+// BeatAnswer is a follower's answer to a heartbeat.
+type BeatAnswer struct {
+	Header
+	// Promised reports whether the receiver renewed its promise to the decider as an elector.
+	Promised    bool
+	HighestTerm uint64
+	// Stamp is the receiver's time, to be echoed in the next heartbeat.
+	Stamp time.Time
+	// TableVersion is the version that the receiver has applied.
+	TableVersion uint64
+	// InFlight counts, for each server, the calls of spans closed by TableVersion that are still in
+	// flight there.
+	InFlight map[assign.ServerID]int
+	// Versions are the versions of all teams that the receiver has in force.
+	Versions map[string]uint64
+	// Load counts the calls of each span since the last answer.
+	Load []SpanLoad
+	// Incarnation tells a restarted process from its predecessor.
+	Incarnation uint64
+}
+
+// SpanLoad counts calls of one span.
+type SpanLoad struct {
+	Service assign.ServiceID
+	Span    assign.Span
+	Calls   uint64
+	// HotHash is the most frequent key hash seen, and HotCalls its approximate count.
+	HotHash  uint64
+	HotCalls uint64
+}
+
+// ReleaseRequest tells electors that a decider has given up its term.
+type ReleaseRequest struct {
+	Header
+	Term uint64
+}
+
+// ReleaseAnswer is the empty answer to a ReleaseRequest.
+type ReleaseAnswer struct{ Header }
+
+// StateRequest asks for the receiver's state.
+type StateRequest struct{ Header }
+
+// StateAnswer is the receiver's state.
+type StateAnswer struct {
+	Header
+	State State
+	// Learned reports whether the receiver itself holds a state that counts for a majority.
+	Learned bool
+}
+
+// EventsRequest asks for the receiver's control events after the given logical time.
+type EventsRequest struct {
+	Header
+	After uint64
+}
+
+// EventsAnswer holds the receiver's control events.
+type EventsAnswer struct {
+	Header
+	Events []event.Event
+}
+
+// ChangedRequest tells the decider that a team's object was written, so that it need not wait for
+// its watch.
+type ChangedRequest struct {
+	Header
+	Team Team
+}
+
+// ChangedAnswer reports how many electors have the version in force.
+type ChangedAnswer struct {
+	Header
+	InForce  int
+	Electors int
+}
+
+// TokenRequest asks the keeper of a server for a token for long work.
+type TokenRequest struct {
+	Header
+	Server assign.ServerID
+	Length time.Duration
+	// Token is zero to acquire, or the token to give back.
+	Token uint64
+}
+
+// TokenAnswer is the keeper's answer.
+type TokenAnswer struct {
+	Header
+	Granted bool
+	Token   uint64
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,287 @@
+// Package peer carries the messages between entry processes, over net/rpc with its gob codec.
+//
+// A Server answers messages through a Handler. A Link sends messages to one peer over one
+// connection, which it opens when it is needed and replaces after an error or a timeout: a
+// connection that has stopped answering may be cut without notice, and a new one finds out.
+//
+// # Usage
+//
+//	server, err := peer.Listen(address, handler)
+//	defer server.Stop()
+//
+//	link := peer.NewLink(other)
+//	defer link.Close()
+//	answer, err := link.Beat(ctx, peer.BeatRequest{...})
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/sourcegraph/conc"
+)
+
+// serviceName is the net/rpc name under which the methods are registered.
+const serviceName = "Peer"
+
+// dialTimeout bounds opening a connection. It is below the silence after which a peer counts as
+// unreachable.
+const dialTimeout = 500 * time.Millisecond
+
+// Errors of this package.
+var (
+	namespace = errorx.NewNamespace("peer")
+	// ErrUnreachable is the type of errors of messages that got no answer. The message may have
+	// been handled.
+	ErrUnreachable = namespace.NewType("unreachable", errorx.Timeout())
+	// ErrListen is the type of errors of a listen address that can't be used.
+	ErrListen = namespace.NewType("listen")
+)
+
+// Handler answers messages of peers. Its methods are called concurrently.
+type Handler interface {
+	Claim(ClaimRequest) ClaimAnswer
+	Beat(BeatRequest) BeatAnswer
+	Release(ReleaseRequest) ReleaseAnswer
+	State(StateRequest) StateAnswer
+	Events(EventsRequest) EventsAnswer
+	Changed(ChangedRequest) ChangedAnswer
+	Token(TokenRequest) TokenAnswer
+	Reserve(ReserveRequest) ReserveAnswer
+	Finish(FinishRequest) FinishAnswer
+	Export(ExportRequest) ExportAnswer
+}
+
+// service adapts a Handler to the method signatures of net/rpc.
+type service struct {
+	handler Handler
+}
+
+// Claim is the net/rpc method of Handler.Claim.
+func (s *service) Claim(request ClaimRequest, answer *ClaimAnswer) error {
+	*answer = s.handler.Claim(request)
+	return nil
+}
+
+// Beat is the net/rpc method of Handler.Beat.
+func (s *service) Beat(request BeatRequest, answer *BeatAnswer) error {
+	*answer = s.handler.Beat(request)
+	return nil
+}
+
+// Release is the net/rpc method of Handler.Release.
+func (s *service) Release(request ReleaseRequest, answer *ReleaseAnswer) error {
+	*answer = s.handler.Release(request)
+	return nil
+}
+
+// State is the net/rpc method of Handler.State.
+func (s *service) State(request StateRequest, answer *StateAnswer) error {
+	*answer = s.handler.State(request)
+	return nil
+}
+
+// Events is the net/rpc method of Handler.Events.
+func (s *service) Events(request EventsRequest, answer *EventsAnswer) error {
+	*answer = s.handler.Events(request)
+	return nil
+}
+
+// Changed is the net/rpc method of Handler.Changed.
+func (s *service) Changed(request ChangedRequest, answer *ChangedAnswer) error {
+	*answer = s.handler.Changed(request)
+	return nil
+}
+
+// Token is the net/rpc method of Handler.Token.
+func (s *service) Token(request TokenRequest, answer *TokenAnswer) error {
+	*answer = s.handler.Token(request)
+	return nil
+}
+
+// Reserve is the net/rpc method of Handler.Reserve.
+func (s *service) Reserve(request ReserveRequest, answer *ReserveAnswer) error {
+	*answer = s.handler.Reserve(request)
+	return nil
+}
+
+// Finish is the net/rpc method of Handler.Finish.
+func (s *service) Finish(request FinishRequest, answer *FinishAnswer) error {
+	*answer = s.handler.Finish(request)
+	return nil
+}
+
+// Export is the net/rpc method of Handler.Export.
+func (s *service) Export(request ExportRequest, answer *ExportAnswer) error {
+	*answer = s.handler.Export(request)
+	return nil
+}
+
+// Server answers messages on one address.
+type Server struct {
+	rpc      *rpc.Server
+	listener net.Listener
+	group    conc.WaitGroup
+
+	mu     sync.Mutex
+	closed bool
+	conns  map[net.Conn]struct{}
+}
+
+// Listen starts a Server. It returns ErrListen where the address can't be used.
+func Listen(address netip.AddrPort, handler Handler) (*Server, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, ErrListen.Wrap(err, "set peer-address to a free address of this VM, not %s", address)
+	}
+	s := &Server{rpc: rpc.NewServer(), listener: listener, conns: make(map[net.Conn]struct{})}
+	if err := s.rpc.RegisterName(serviceName, &service{handler: handler}); err != nil {
+		return nil, ErrListen.Wrap(err, "register the peer methods")
+	}
+	s.group.Go(s.run)
+	return s, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Stop closes the listener and every connection, and waits for the server's goroutines.
+func (s *Server) Stop() {
+	s.listener.Close()
+	s.mu.Lock()
+	s.closed = true
+	for c := range s.conns {
+		c.Close()
+	}
+	s.mu.Unlock()
+	s.group.Wait()
+}
+
+func (s *Server) run() {
+	for {
+		conn, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// Accept fails for a moment when the process is out of file descriptors.
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		if !s.add(conn) {
+			conn.Close()
+			return
+		}
+		c := &serverConn{server: s, conn: conn}
+		s.group.Go(c.run)
+	}
+}
+
+func (s *Server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// serverConn is one accepted connection.
+type serverConn struct {
+	server *Server
+	conn   net.Conn
+}
+
+// run serves the connection. A message that is not valid gob ends only this connection.
+func (c *serverConn) run() {
+	defer c.server.remove(c.conn)
+	c.server.rpc.ServeConn(c.conn)
+}
+
+// Link sends messages to one peer. It is safe for concurrent use.
+type Link struct {
+	address netip.AddrPort
+
+	mu     sync.Mutex
+	client *rpc.Client
+	closed bool
+}
+
+// NewLink returns a Link to the peer at address. It opens no connection yet.
+func NewLink(address netip.AddrPort) *Link {
+	return &Link{address: address}
+}
+
+// Close closes the link's connection. Messages on their way get ErrUnreachable.
+func (l *Link) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	if l.client != nil {
+		l.client.Close()
+	}
+}
+
+// call sends one message and waits for its answer until the context ends. After an error the
+// answer must not be read: a late message may still be decoded into it.
+func (l *Link) call(ctx context.Context, method string, request, answer any) error {
+	client, err := l.connect(ctx)
+	if err != nil {
+		return ErrUnreachable.Wrap(err, "peer %s does not accept a connection; check that it runs", l.address)
+	}
+	call := client.Go(serviceName+"."+method, request, answer, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		err = call.Error
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	if err != nil {
+		l.drop(client)
+		return ErrUnreachable.Wrap(err, "peer %s did not answer %s; check the network to it", l.address, method)
+	}
+	return nil
+}
+
+func (l *Link) connect(ctx context.Context) (*rpc.Client, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil, net.ErrClosed
+	}
+	if l.client != nil {
+		return l.client, nil
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", l.address.String())
+	if err != nil {
+		return nil, err
+	}
+	l.client = rpc.NewClient(conn)
+	return l.client, nil
+}
+
+// drop closes the connection, so that the next message opens a new one.
+func (l *Link) drop(client *rpc.Client) {
+	client.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.client == client {
+		l.client = nil
+	}
+}
