--- /dev/null
+++ b/pkg/elect/event.go
@@ -0,0 +1,88 @@
+package elect
+
+import (
+	"time"
+
+	"github.com/samphiredrum/samphiredrum/pkg/assign"
+)
+
+// Event is something that happened to the process.
+//
+//sumtype:decl
+type Event interface {
+	event()
+}
+
+// Tick tells that time has passed.
+type Tick struct {
+	// Latest is a reading of clock.Clock.Latest taken together with the step's time. The process
+	// counts the promise of its own elector from it.
+	Latest time.Time
+}
+
+// ClaimReceived is a claim or a probe from another process. Its answer is AnswerClaim.
+type ClaimReceived struct {
+	From            assign.ProcessID
+	Term            uint64
+	ElectorsVersion uint64
+	// Probe marks a question whether a claim would be granted.
+	Probe bool
+}
+
+// BeatReceived is a heartbeat of a decider. Its answer is AnswerBeat.
+type BeatReceived struct {
+	From            assign.ProcessID
+	Term            uint64
+	ElectorsVersion uint64
+}
+
+// PromiseReceived is an elector's answer to a claim, a probe or a beat of this process.
+type PromiseReceived struct {
+	From assign.ProcessID
+	// Term is the term of the claim, probe or beat.
+	Term uint64
+	// SentAt is a reading of clock.Clock.Latest from before the claim, probe or beat was sent.
+	SentAt          time.Time
+	Granted         bool
+	HighestTerm     uint64
+	ElectorsVersion uint64
+	// Probe is as in the claim; it is false for the answer to a beat.
+	Probe bool
+}
+
+// ReleaseReceived tells that another process has given up a term, or its claim on it.
+type ReleaseReceived struct {
+	From assign.ProcessID
+	Term uint64
+	// Next is as in SendRelease.
+	Next bool
+}
+
+// ElectorsChanged gives the elector set of the stored record or of a decider's table. A set whose
+// version is not above the known one is ignored. Successive sets differ by one process.
+type ElectorsChanged struct {
+	Electors []assign.ProcessID
+	Version  uint64
+}
+
+// StateLearned tells that the process has the state of the cell: the current table from a decider;
+// or the states of a majority of the other electors, each of a process that has itself learned the
+// state since its start; or, at the start of a whole cell, answers of all electors. The owner steps
+// ElectorsChanged with the learned set first.
+type StateLearned struct {
+	// HighestTerm is the highest term in the learned states and in the stored record.
+	HighestTerm uint64
+}
+
+// Release begins the planned stop of this process. It gives up the term, or a claim, and claims
+// none any more. It still answers as an elector.
+type Release struct{}
+
+func (Tick) event()            {}
+func (ClaimReceived) event()   {}
+func (BeatReceived) event()    {}
+func (PromiseReceived) event() {}
+func (ReleaseReceived) event() {}
+func (ElectorsChanged) event() {}
+func (StateLearned) event()    {}
+func (Release) event()         {}
