--- a/pkg/elect/action.go
+++ b/pkg/elect/action.go
@@ -64,6 +64,13 @@
 	Reason LossReason
 }
 
+// CollectStates asks for the state of the cell, see StateLearned. It is repeated every heartbeat
+// interval until StateLearned has been stepped.
+type CollectStates struct {
+	// From are the other electors.
+	From []assign.ProcessID
+}
+
 // LearnElectors tells that the process named knows a later elector set.
 type LearnElectors struct {
 	From    assign.ProcessID
@@ -76,6 +83,7 @@
 func (AnswerBeat) action()    {}
 func (Won) action()           {}
 func (Lost) action()          {}
+func (CollectStates) action() {}
 func (LearnElectors) action() {}
 
 //go:generate enumer -type=LossReason -transform=kebab -text -output=lossreason_enumer.go
--- a/pkg/elect/candidate.go
+++ b/pkg/elect/candidate.go
@@ -45,6 +45,7 @@
 		m.skew = 0
 	}
 	m.latest = now.Add(m.skew)
+	m.tickElector(now)
 	switch m.candidate.role {
 	case following:
 		m.tickFollowing(now)
@@ -56,7 +57,7 @@
 }
 
 func (m *Machine) tickFollowing(now time.Time) {
-	if m.stopped || now.Before(m.candidate.next) || !m.mayPromise(now) || !m.free(now) {
+	if m.stopped || now.Before(m.candidate.next) || !m.mayPromise() || !m.free(now) {
 		return
 	}
 	c := &m.candidate
@@ -263,13 +264,17 @@
 	m.previous = nil
 }
 
-// sendReleases releases the term at every elector; next is asked to claim at once.
-func (m *Machine) sendReleases(next assign.ProcessID) {
+// sendReleases releases the term at every elector. The successor, where there is one, is told last,
+// so that the others are free when it claims.
+func (m *Machine) sendReleases(successor assign.ProcessID) {
 	for _, id := range sorted(append(slices.Clone(m.electors), m.previous...)) {
-		if id != m.config.Self {
-			m.emit(SendRelease{To: id, Term: m.candidate.term, Next: id == next})
+		if id != m.config.Self && id != successor {
+			m.emit(SendRelease{To: id, Term: m.candidate.term})
 		}
 	}
+	if successor != "" {
+		m.emit(SendRelease{To: successor, Term: m.candidate.term, Next: true})
+	}
 }
 
 // successor returns the elector whose promise is the latest, as it is the most likely to be
--- a/pkg/elect/elect.go
+++ b/pkg/elect/elect.go
@@ -8,7 +8,9 @@
 // An elector promises to one process at a time. It promises to another only after its earlier
 // promise has lapsed by its own clock or was released, and only for a term that it has not
 // promised before. A restarted elector has forgotten its promises, so it gives none until one
-// term lease plus margin has passed since its start and it has learned the state of the cell.
+// term lease plus margin has passed since its start and it has then learned the state of the cell.
+// The state is read after the wait: a process that wins a term with a promise from before the
+// restart does so during the wait, and a state read earlier may not show that term.
 //
 // A candidate first probes the electors, which changes nothing at them, and claims a term only
 // when a majority would grant it. A process that hears no decider because of its own link can
@@ -39,6 +41,8 @@
 //			// collect the tables of m.Quorum() of m.Promised(), then start the decider
 //		case elect.Lost:
 //			// stop the decider and its beats
+//		case elect.CollectStates:
+//			// ask the electors for their states, step StateLearned when enough have answered
 //		case elect.LearnElectors:
 //			// read the elector set from the process named, step ElectorsChanged
 //		}
@@ -139,12 +143,13 @@
 		electors:        sorted(c.Electors),
 		electorsVersion: c.ElectorsVersion,
 	}
-	m.candidate.next = c.Started.Add(m.delay())
+	m.candidate.next = m.waitEnd().Add(m.delay())
 	return m
 }
 
-// Step handles one event at now, a reading of clock.Clock.Now, and returns the actions that the
-// owner carries out in order.
+// Step handles one event at now, and returns the actions that the owner carries out in order. now
+// is a reading of clock.Clock.Now from after the event happened: a promise counted from a reading
+// that is older than the claim would lapse too early.
 func (m *Machine) Step(now time.Time, e Event) []Action {
 	m.latest = now.Add(m.skew)
 	switch e := e.(type) {
@@ -161,7 +166,7 @@
 	case ElectorsChanged:
 		m.electorsChanged(now, e)
 	case StateLearned:
-		m.elector.learn(e.HighestTerm)
+		m.stateLearned(now, e)
 	case Release:
 		m.stop(now)
 	}
@@ -208,8 +213,9 @@
 	return m.known.process
 }
 
-// Learned reports whether this process has learned the state of the cell since its start. Only
-// the states of such processes count for a restarted elector that collects states.
+// Learned reports whether this process has learned the state of the cell since its start, by a
+// StateLearned after the wait. Only the states of such processes count for a restarted elector that
+// collects states.
 func (m *Machine) Learned() bool {
 	return m.elector.learned
 }
--- a/pkg/elect/elector.go
+++ b/pkg/elect/elector.go
@@ -1,6 +1,7 @@
 package elect
 
 import (
+	"slices"
 	"time"
 
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
@@ -20,7 +21,10 @@
 	promisedTerm uint64
 	given        lease.Given
 
+	// learned is set when the state of the cell was learned after the wait; collect is when the
+	// owner is next asked to collect it.
 	learned bool
+	collect time.Time
 	// released is the last release received. Claims and beats of that term that were delayed are
 	// refused until released.until, so that they do not renew a released promise.
 	released release
@@ -40,13 +44,6 @@
 	live lease.Given
 }
 
-// learn records that no term up to highest may be promised to a claimant.
-func (el *elector) learn(highest uint64) {
-	el.learned = true
-	el.highest = max(el.highest, highest)
-	el.floor = max(el.floor, highest)
-}
-
 func (el *elector) holds(from assign.ProcessID, term uint64) bool {
 	return el.promisedTo == from && el.promisedTerm == term
 }
@@ -73,11 +70,41 @@
 	}
 }
 
-// mayPromise reports whether the process is an elector that remembers, or has outwaited, the
-// promises it gave.
-func (m *Machine) mayPromise(now time.Time) bool {
-	wait := m.config.Margin.Stretch(m.config.TermLease)
-	return m.isElector() && m.elector.learned && !now.Before(m.config.Started.Add(wait))
+// waitEnd returns the time at which every promise given before a restart has lapsed.
+func (m *Machine) waitEnd() time.Time {
+	return m.config.Started.Add(m.config.Margin.Stretch(m.config.TermLease))
+}
+
+// mayPromise reports whether the process is an elector that knows which terms were promised, and
+// has outwaited the promises it gave before a restart.
+func (m *Machine) mayPromise() bool {
+	return m.isElector() && m.elector.learned
+}
+
+// stateLearned records that no term up to the learned one may be promised to a claimant.
+func (m *Machine) stateLearned(now time.Time, e StateLearned) {
+	el := &m.elector
+	el.highest = max(el.highest, e.HighestTerm)
+	el.floor = max(el.floor, e.HighestTerm)
+	if !now.Before(m.waitEnd()) {
+		el.learned = true
+	}
+	if m.candidate.role == leading && e.HighestTerm > m.candidate.term {
+		m.lose(now, HigherTerm)
+	}
+}
+
+// tickElector asks for the state of the cell until it is learned.
+func (m *Machine) tickElector(now time.Time) {
+	el := &m.elector
+	if el.learned || now.Before(m.waitEnd()) || now.Before(el.collect) {
+		return
+	}
+	el.collect = now.Add(m.config.Beat)
+	from := slices.DeleteFunc(slices.Clone(m.electors), func(id assign.ProcessID) bool {
+		return id == m.config.Self
+	})
+	m.emit(CollectStates{From: from})
 }
 
 // free reports whether no process can hold a promise of this elector or is known as a live
@@ -92,6 +119,7 @@
 	if granted && !e.Probe {
 		m.yield(now, e)
 		m.elector.promise(now, e.From, e.Term, m.config)
+		m.candidate.next = m.elector.given.Expires().Add(m.delay())
 	}
 	m.emit(AnswerClaim{
 		To:              e.From,
@@ -106,7 +134,7 @@
 func (m *Machine) wouldGrant(now time.Time, e ClaimReceived) bool {
 	el := &m.elector
 	switch {
-	case !m.mayPromise(now), e.ElectorsVersion < m.electorsVersion:
+	case !m.mayPromise(), e.ElectorsVersion < m.electorsVersion:
 		return false
 	case e.Probe:
 		// The candidate chooses its term from the answers, so the term is not compared.
@@ -183,7 +211,7 @@
 // renew gives or renews the promise to the sender of an accepted beat, and reports whether it did.
 // A beat proves that its sender has won the term, so the term may equal the floor.
 func (m *Machine) renew(now time.Time, e BeatReceived) bool {
-	if !m.mayPromise(now) || e.ElectorsVersion < m.electorsVersion {
+	if !m.mayPromise() || e.ElectorsVersion < m.electorsVersion {
 		return false
 	}
 	if !m.elector.holds(e.From, e.Term) && !m.elector.given.Lapsed(now) {
@@ -201,7 +229,7 @@
 		m.known.process = ""
 		m.known.live.Drop()
 	}
-	if m.candidate.role != following {
+	if m.candidate.role != following || !m.free(now) {
 		return
 	}
 	m.candidate.next = now
--- a/pkg/elect/event.go
+++ b/pkg/elect/event.go
@@ -65,9 +65,16 @@
 	Version  uint64
 }
 
-// StateLearned tells that the process has the state of the cell: the current table from a decider;
-// or the states of a majority of the other electors, each of a process that has itself learned the
-// state since its start; or, at the start of a whole cell, answers of all electors. The owner steps
+// StateLearned tells that the process has the state of the cell, as one of
+//
+//   - the current table from a decider whose beat was accepted
+//   - the states of a majority of the other electors, counting only those for which
+//     Machine.Learned is true
+//   - answers of all other electors, whether they have learned the state or not, as at the start of
+//     a whole cell; nothing more can be known then.
+//
+// Only what was received in answer to CollectStates, or in a beat since the first CollectStates,
+// counts. An earlier StateLearned raises the known term but does not end the wait. The owner steps
 // ElectorsChanged with the learned set first.
 type StateLearned struct {
 	// HighestTerm is the highest term in the learned states and in the stored record.
