--- a/pkg/assign/assign.go
+++ b/pkg/assign/assign.go
@@ -82,8 +82,19 @@
 	Generation uint64
 	// Horizon is the table version since which the recorders' memory is unbroken.
 	Horizon uint64
-	// Recorders are the processes that remember the bucket's identifiers.
+	// Recorders are the processes that remember the bucket's identifiers. Survivors of the
+	// previous generation come first.
 	Recorders []ProcessID
+	// Copying is set while only the first recorder is known to hold the bucket. If that one is
+	// lost, the bucket's memory is lost.
+	Copying bool
+}
+
+// Run is one run of a process, from its start to its end. A process that starts again has another
+// incarnation.
+type Run struct {
+	Process     ProcessID
+	Incarnation string
 }
 
 // Record is the assignment of a cell as the object API keeps it.
@@ -128,10 +139,13 @@
 	Services map[ServiceID][]Holding
 	Buckets  []Bucket
 	Electors []ProcessID
-	// Processes are those that may hold a serving lease. A process gets its first lease only when
-	// a majority of the electors holds a table that lists it, so that a new decider knows every
-	// lease it has to wait for.
+	// Processes are those that take part, sorted by name.
 	Processes []ProcessID
+	// Runs are the runs of processes that may hold a serving lease or still have calls at a server.
+	// A run gets its first lease only when a majority of the electors holds a table that lists it,
+	// so that a new decider knows every lease and call it has to wait for. A run that has ended
+	// stays listed while a server may still work on its calls.
+	Runs []Run
 }
 
 // Hash returns the position of a key in the hash space.
@@ -178,5 +192,6 @@
 		Buckets:   slices.Clone(t.Buckets),
 		Electors:  slices.Clone(t.Electors),
 		Processes: slices.Clone(t.Processes),
+		Runs:      slices.Clone(t.Runs),
 	}
 }
