--- a/pkg/assign/assign.go
+++ b/pkg/assign/assign.go
@@ -84,6 +84,15 @@
 	Horizon uint64
 	// Recorders are the processes that remember the bucket's identifiers.
 	Recorders []ProcessID
+	// Incarnations are those of the Recorders, in the same order. A recorder that restarted has
+	// forgotten what it remembered, so it answers only when its present incarnation is listed.
+	Incarnations []uint64
+	// Joined are the generations since which the Recorders are listed without a break, in the
+	// same order. A recorder without memory since then copies the bucket before it answers.
+	Joined []uint64
+	// Start is the generation that came with the last rise of Horizon. Recorders that joined at
+	// Start begin with an empty memory.
+	Start uint64
 }
 
 // Record is the assignment of a cell as the object API keeps it.
--- /dev/null
+++ b/pkg/dedup/identifier.go
@@ -0,0 +1,55 @@
+package dedup
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/samphiredrum/samphiredrum/pkg/assign"
+)
+
+// issuedPrefix marks identifiers issued by this system. A caller's own identifier with this prefix
+// that does not parse is treated like any other identifier of a caller.
+const issuedPrefix = "sd1."
+
+// Issued is an identifier issued by this system.
+type Issued struct {
+	// Version is the table version at issue.
+	Version uint64
+	// Process issued the identifier.
+	Process assign.ProcessID
+	// Random makes the identifier unique.
+	Random [16]byte
+}
+
+// Issue returns a new identifier. The version is that of the issuing process's table at this time,
+// and random is read from a cryptographic source.
+func Issue(version uint64, process assign.ProcessID, random [16]byte) string {
+	return fmt.Sprintf("%s%x.%x.%s", issuedPrefix, version, random, process)
+}
+
+// Parse returns the parts of an identifier issued by this system. It reports false for any other
+// identifier, also for one that Issue would have written differently.
+func Parse(identifier string) (Issued, bool) {
+	rest, ok := strings.CutPrefix(identifier, issuedPrefix)
+	if !ok {
+		return Issued{}, false
+	}
+	parts := strings.SplitN(rest, ".", 3)
+	if len(parts) != 3 || len(parts[1]) != 32 {
+		return Issued{}, false
+	}
+	version, err := strconv.ParseUint(parts[0], 16, 64)
+	if err != nil {
+		return Issued{}, false
+	}
+	i := Issued{Version: version, Process: assign.ProcessID(parts[2])}
+	for at := range i.Random {
+		b, err := strconv.ParseUint(parts[1][2*at:2*at+2], 16, 8)
+		if err != nil {
+			return Issued{}, false
+		}
+		i.Random[at] = byte(b)
+	}
+	return i, Issue(i.Version, i.Process, i.Random) == identifier
+}
