--- a/pkg/assign/assign.go
+++ b/pkg/assign/assign.go
@@ -88,6 +88,15 @@
 	// Copying is set while only the first recorder is known to hold the bucket. If that one is
 	// lost, the bucket's memory is lost.
 	Copying bool
+	// Incarnations are those of the Recorders, in the same order. A recorder that restarted has
+	// forgotten what it remembered, so it answers only when its present incarnation is listed.
+	Incarnations []uint64
+	// Joined are the generations since which the Recorders are listed without a break, in the
+	// same order. A recorder without memory since then copies the bucket before it answers.
+	Joined []uint64
+	// Start is the generation that came with the last rise of Horizon. Recorders that joined at
+	// Start begin with an empty memory.
+	Start uint64
 }
 
 // Run is one run of a process, from its start to its end. A process that starts again has another
