--- /dev/null
+++ b/internal/conf/conf.go
@@ -0,0 +1,93 @@
+// Package conf reads and checks settings: the process file of an entry process, the team files that
+// describe services, and the deployment file that describes a whole user to load tools.
+//
+// Files are INI text with kebab-case names. One table of keys (see Settings) is the source for
+// parsing, defaults, bounds and the reference page docs/settings.md. The same checker runs for
+// `samphiredrum check`, at start, and before a configuration is accepted, so a file that passes one
+// of them passes all.
+//
+// A parser never stops at the first fault. It returns every fault it finds, up to MaxFaults, each
+// with its file, line, problem and remedy. Where there is a fault the value returned is the zero
+// value, so that a partly read file cannot be used by mistake.
+//
+// # Usage
+//
+//	process, faults := conf.ParseProcess("entry-1.ini", text)
+//	for _, f := range faults {
+//		fmt.Fprintln(os.Stderr, f) // entry-1.ini:7: ...; remedy: ...
+//	}
+//
+//	team, faults := conf.ParseTeam("yards", "config/yards", text)
+//	service, ok := team.Service("yards/ledger")
+//	operation, ok := service.Match("GET", "/balances/yard-17")
+//	key, err := service.Key.Extract(header, query, "/balances/yard-17")
+//
+// All parsers are pure functions and safe for concurrent use. They do not panic on any input.
+package conf
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+const (
+	// MaxBytes is the size limit of one settings text in bytes. It is the largest value the object
+	// API stores.
+	MaxBytes = 1 << 20
+	// MaxFaults is the number of faults one parser reports. It bounds the answer to an operator
+	// who submits a text of another format.
+	MaxFaults = 100
+)
+
+// Fault is one thing that is wrong with a settings text.
+type Fault struct {
+	// File is the name the text was parsed under.
+	File string
+	// Line counts from 1. It is 0 where the fault concerns the text as a whole.
+	Line int
+	// Problem says what is wrong.
+	Problem string
+	// Remedy says what to change.
+	Remedy string
+}
+
+// String returns the fault as one line: "file:line: problem; remedy: what to change".
+func (f Fault) String() string {
+	if f.Line == 0 {
+		return fmt.Sprintf("%s: %s; remedy: %s", f.File, f.Problem, f.Remedy)
+	}
+	return fmt.Sprintf("%s:%d: %s; remedy: %s", f.File, f.Line, f.Problem, f.Remedy)
+}
+
+// report collects the faults of one text.
+type report struct {
+	file   string
+	faults []Fault
+	hidden int
+}
+
+func (r *report) add(line int, problem, remedy string) {
+	if len(r.faults) >= MaxFaults {
+		r.hidden++
+		return
+	}
+	r.faults = append(r.faults, Fault{File: r.file, Line: line, Problem: problem, Remedy: remedy})
+}
+
+func (r *report) clean() bool {
+	return len(r.faults) == 0
+}
+
+// sorted returns the faults by line. A last fault counts those over MaxFaults.
+func (r *report) sorted() []Fault {
+	slices.SortStableFunc(r.faults, func(a, b Fault) int { return cmp.Compare(a.Line, b.Line) })
+	if r.hidden == 0 {
+		return r.faults
+	}
+	return append(r.faults, Fault{
+		File:    r.file,
+		Problem: fmt.Sprintf("%d more faults are not listed", r.hidden),
+		Remedy:  "correct the faults above and check again",
+	})
+}
