--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/samphiredrum/samphiredrum/internal/back"
 	"github.com/samphiredrum/samphiredrum/internal/conf"
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 )
@@ -52,6 +53,9 @@
 	ReasonDeadline
 	// ReasonRefused is a call that the server refused to run.
 	ReasonRefused
+	// ReasonMoved is an attempt that was not sent because the key's owner changed. The call is
+	// routed again.
+	ReasonMoved
 	// ReasonRecorder is a booking whose identifier could not be recorded.
 	ReasonRecorder
 	// ReasonRepeated is a booking whose identifier is in use by an attempt that has not finished.
@@ -72,7 +76,7 @@
 	Method string
 	Path   string
 	Query  string
-	Header http.Header
+	Headers []back.Header
 	Body   []byte
 
 	Service   *conf.Service
@@ -81,9 +85,10 @@
 	Hash uint64
 	// IdempotencyKey is the caller's identifier of a booking, or "".
 	IdempotencyKey string
-	// Arrived and Deadline are readings of clock.Clock.Now.
-	Arrived  time.Time
+	// Deadline is a reading of clock.Clock.Now.
 	Deadline time.Time
+	// LatestDeadline is the same moment as a reading of clock.Clock.Latest.
+	LatestDeadline time.Time
 
 	// target is set by the route filter.
 	target target
@@ -100,9 +105,12 @@
 	// RetryAfter is the time after which a repeat may succeed. Zero gives no hint.
 	RetryAfter time.Duration
 
-	Status int
-	Header http.Header
-	Body   []byte
+	Status  int
+	Headers []back.Header
+	Body    []byte
+
+	// shed is set where the server refused the call because of its load.
+	shed bool
 }
 
 // Next is the rest of the pipeline.
--- /dev/null
+++ b/internal/entry/http.go
@@ -0,0 +1,301 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/joomcode/errorx"
+	"github.com/sourcegraph/conc"
+
+	"github.com/samphiredrum/samphiredrum/internal/back"
+	"github.com/samphiredrum/samphiredrum/internal/conf"
+	"github.com/samphiredrum/samphiredrum/pkg/assign"
+	"github.com/samphiredrum/samphiredrum/pkg/dedup"
+)
+
+// Header names towards callers.
+const (
+	headerIdempotencyKey = "Idempotency-Key"
+	headerTimeout        = "Timeout-Ms"
+	headerOutcome        = "Outcome"
+	headerRetryAfter     = "Retry-After-Ms"
+	headerRemedy         = "Remedy"
+)
+
+// Paths that are no calls of a service. They have one segment, which no service path has.
+const (
+	pathReady      = "/ready"
+	pathBookingIDs = "/booking-ids"
+)
+
+// maxTimeout bounds the time that a caller may ask for.
+const maxTimeout = 10 * time.Minute
+
+// Errors of this package.
+var (
+	namespace = errorx.NewNamespace("entry")
+	// ErrListen is the type of errors of a listen address that can't be used.
+	ErrListen = namespace.NewType("listen")
+)
+
+// HTTPConfig configures an HTTP server for callers.
+type HTTPConfig struct {
+	Limits conf.Limits
+	// TableVersion returns the version that issued booking identifiers carry.
+	TableVersion func() uint64
+	// Done is called with each finished call.
+	Done func(c *Call, r Result, took time.Duration)
+}
+
+// HTTP takes calls over HTTP/1.1.
+type HTTP struct {
+	router   *Router
+	config   HTTPConfig
+	app      *fiber.App
+	listener net.Listener
+	group    conc.WaitGroup
+}
+
+// ListenHTTP starts to take calls on the address. It returns ErrListen where that fails.
+func ListenHTTP(address string, router *Router, config HTTPConfig) (*HTTP, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, ErrListen.Wrap(err, "set caller-address to a free address of this VM, not %s", address)
+	}
+	h := &HTTP{router: router, config: config, listener: listener}
+	h.app = fiber.New(fiber.Config{
+		BodyLimit:      config.Limits.BodyBytes,
+		ReadBufferSize: config.Limits.HeaderBytes,
+		ReadTimeout:    config.Limits.ReadTimeout,
+		IdleTimeout:    time.Minute,
+		ErrorHandler:   h.fail,
+	})
+	h.app.Get(pathReady, h.ready)
+	h.app.Post(pathBookingIDs, h.issue)
+	h.app.All("/*", h.call)
+	h.group.Go(h.run)
+	return h, nil
+}
+
+func (h *HTTP) run() {
+	// The error tells only that the listener was closed.
+	_ = h.app.Listener(h.listener, fiber.ListenConfig{DisableStartupMessage: true})
+}
+
+// Address returns the address that callers connect to.
+func (h *HTTP) Address() string {
+	return h.listener.Addr().String()
+}
+
+// Stop closes the listener and waits until the calls in flight have their answers or the context
+// ends.
+func (h *HTTP) Stop(ctx context.Context) error {
+	err := h.app.ShutdownWithContext(ctx)
+	h.group.Wait()
+	return err
+}
+
+// ready answers the balancer.
+func (h *HTTP) ready(c fiber.Ctx) error {
+	if !h.router.Serves() {
+		return c.Status(http.StatusServiceUnavailable).SendString("unready\n")
+	}
+	return c.SendString("ready\n")
+}
+
+// issue gives out a booking identifier.
+func (h *HTTP) issue(c fiber.Ctx) error {
+	if !h.router.Serves() {
+		return h.write(c, refuse(ReasonNotServing, "ask another entry process for an identifier"))
+	}
+	var random [16]byte
+	if _, err := rand.Read(random[:]); err != nil {
+		return err
+	}
+	return c.Status(http.StatusCreated).SendString(dedup.Issue(h.config.TableVersion(), h.router.config.Self, random))
+}
+
+// call runs one call of a caller.
+func (h *HTTP) call(c fiber.Ctx) error {
+	started := h.router.config.Clock.Now()
+	call, refusal := h.parse(c)
+	result := refusal
+	if refusal.Reason == ReasonNone {
+		ctx, cancel := context.WithTimeout(context.Background(), call.Deadline.Sub(started))
+		defer cancel()
+		result = h.router.Handle(ctx, call)
+	}
+	if h.config.Done != nil {
+		h.config.Done(call, result, h.router.config.Clock.Now().Sub(started))
+	}
+	return h.write(c, result)
+}
+
+// parse reads the call. Everything is copied, since the server reuses its buffers.
+func (h *HTTP) parse(c fiber.Ctx) (*Call, Result) {
+	now, latest := h.router.config.Clock.Now(), h.router.config.Clock.Latest()
+	request := c.Request()
+	call := &Call{
+		ID:     identifier(),
+		Method: strings.Clone(c.Method()),
+		Query:  string(request.URI().QueryString()),
+		Body:   append([]byte(nil), request.Body()...),
+	}
+	id, path, ok := splitPath(string(request.URI().PathOriginal()))
+	if !ok {
+		return call, refuse(ReasonNoService, "use a path of the form /<team>/<service>/<path>")
+	}
+	service := h.router.View().Services[id]
+	if service == nil {
+		return call, refuse(ReasonNoService, "no service of that name is in force; check the path or the team's settings")
+	}
+	call.Service, call.Path = &service.Service, path
+	if call.Operation, ok = service.Match(call.Method, path); !ok {
+		return call, refuse(ReasonNoService, "the service has no operation for this method and path; check the team's settings")
+	}
+	if refusal := readKey(c, call); refusal.Reason != ReasonNone {
+		return call, refusal
+	}
+	if refusal := readHeaders(c, call); refusal.Reason != ReasonNone {
+		return call, refusal
+	}
+	timeout, refusal := readTimeout(c, call)
+	call.Deadline, call.LatestDeadline = now.Add(timeout), latest.Add(timeout)
+	return call, refusal
+}
+
+// splitPath splits "/<team>/<service>/<path>" in the service and the rest with its slash.
+func splitPath(path string) (assign.ServiceID, string, bool) {
+	parts := strings.SplitN(strings.TrimPrefix(path, "/"), "/", 3)
+	if len(parts) < 3 || parts[0] == "" || parts[1] == "" {
+		return "", "", false
+	}
+	return assign.ServiceID(parts[0] + "/" + parts[1]), "/" + parts[2], true
+}
+
+// readKey extracts the key of a call to an exclusive service. A key that occurs twice is refused,
+// because the server may read the other value.
+func readKey(c fiber.Ctx, call *Call) Result {
+	if !call.Service.Exclusive {
+		return Result{}
+	}
+	repeated := false
+	header := func(name string) string {
+		values := c.Request().Header.PeekAll(name)
+		repeated = repeated || len(values) > 1
+		if len(values) == 0 {
+			return ""
+		}
+		return string(values[0])
+	}
+	query := func(name string) string {
+		values := c.Request().URI().QueryArgs().PeekMulti(name)
+		repeated = repeated || len(values) > 1
+		if len(values) == 0 {
+			return ""
+		}
+		return string(values[0])
+	}
+	key, err := call.Service.Key.Extract(header, query, call.Path)
+	if err != nil {
+		return refuse(ReasonNoKey, err.Error())
+	}
+	if repeated {
+		return refuse(ReasonNoKey, "send the key once")
+	}
+	call.Hash = assign.Hash(key)
+	return Result{}
+}
+
+func readHeaders(c fiber.Ctx, call *Call) Result {
+	for name, value := range c.Request().Header.All() {
+		call.Headers = append(call.Headers, back.Header{Name: string(name), Value: string(value)})
+	}
+	values := c.Request().Header.PeekAll(headerIdempotencyKey)
+	if len(values) > 1 {
+		return refuse(ReasonMalformed, "send one Idempotency-Key")
+	}
+	if len(values) == 1 {
+		call.IdempotencyKey = string(values[0])
+	}
+	return Result{}
+}
+
+func readTimeout(c fiber.Ctx, call *Call) (time.Duration, Result) {
+	text := c.Get(headerTimeout)
+	if text == "" {
+		return call.Operation.Timeout, Result{}
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n <= 0 || n > maxTimeout.Milliseconds() {
+		return call.Operation.Timeout, refuse(ReasonMalformed, "send Timeout-Ms as a number of milliseconds from 1 to 600000")
+	}
+	return min(call.Operation.Timeout, time.Duration(n)*time.Millisecond), Result{}
+}
+
+// identifier returns a random identifier for a call.
+func identifier() string {
+	var random [12]byte
+	// Read never fails on Linux, see crypto/rand.
+	_, _ = rand.Read(random[:])
+	return hex.EncodeToString(random[:])
+}
+
+// refusalBody is the body of answers to calls that did not run.
+type refusalBody struct {
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+	Remedy  string `json:"remedy"`
+}
+
+// write sends a result to the caller.
+func (h *HTTP) write(c fiber.Ctx, r Result) error {
+	c.Set(headerOutcome, r.Outcome.String())
+	if r.RetryAfter > 0 {
+		c.Set(headerRetryAfter, strconv.FormatInt(max(1, r.RetryAfter.Milliseconds()), 10))
+	}
+	if r.Remedy != "" {
+		c.Set(headerRemedy, r.Remedy)
+	}
+	if r.Outcome == OutcomeRan {
+		for _, field := range r.Headers {
+			c.Response().Header.Add(field.Name, field.Value)
+		}
+		return c.Status(r.Status).Send(r.Body)
+	}
+	body, err := json.Marshal(refusalBody{Outcome: r.Outcome.String(), Reason: r.Reason.String(), Remedy: r.Remedy})
+	if err != nil {
+		return err
+	}
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	return c.Status(r.Status).Send(body)
+}
+
+// fail answers requests that were refused before they became calls.
+func (h *HTTP) fail(c fiber.Ctx, err error) error {
+	status := http.StatusBadRequest
+	var e *fiber.Error
+	if errors.As(err, &e) {
+		status = e.Code
+	}
+	result := refuse(ReasonMalformed, "send a well-formed HTTP/1.1 request")
+	switch status {
+	case http.StatusRequestEntityTooLarge:
+		result = refuse(ReasonTooLarge, "send a smaller body")
+	case http.StatusRequestHeaderFieldsTooLarge:
+		result = refuse(ReasonTooLarge, "send fewer or shorter headers")
+	case http.StatusRequestTimeout:
+		result = refuse(ReasonMalformed, "send the request faster")
+	}
+	result.Status = status
+	return h.write(c, result)
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
+	"github.com/samphiredrum/samphiredrum/pkg/dedup"
 	"github.com/samphiredrum/samphiredrum/pkg/event"
 )
 
@@ -152,3 +153,39 @@
 	Granted bool
 	Token   uint64
 }
+
+// ReserveRequest asks a recorder to reserve a booking identifier.
+type ReserveRequest struct {
+	Header
+	Reserve dedup.Reserve
+}
+
+// ReserveAnswer is the recorder's answer.
+type ReserveAnswer struct {
+	Header
+	Reserved dedup.Reserved
+}
+
+// FinishRequest tells a recorder how an attempt ended.
+type FinishRequest struct {
+	Header
+	Finish dedup.Finish
+}
+
+// FinishAnswer is the recorder's answer.
+type FinishAnswer struct {
+	Header
+	Ended dedup.Ended
+}
+
+// ExportRequest asks a recorder for a chunk of a bucket.
+type ExportRequest struct {
+	Header
+	Ask dedup.Ask
+}
+
+// ExportAnswer is the chunk.
+type ExportAnswer struct {
+	Header
+	Chunk dedup.Chunk
+}
--- a/pkg/lease/server.go
+++ b/pkg/lease/server.go
@@ -50,3 +50,9 @@
 func (s *ServerClock) known() bool {
 	return !s.reading.IsZero()
 }
+
+// Reset returns a ServerClock with the same margin that knows no reading, for another run of the
+// server.
+func (s *ServerClock) Reset() *ServerClock {
+	return NewServerClock(s.margin)
+}
