--- /dev/null
+++ b/internal/stand/control.go
@@ -0,0 +1,131 @@
+package stand
+
+import (
+	"github.com/valyala/fasthttp"
+)
+
+func (b *Backend) serveControl(ctx *fasthttp.RequestCtx, path string) {
+	switch path {
+	case "/control/grant":
+		b.serveGrant(ctx)
+	case "/control/revoke":
+		b.serveRevoke(ctx)
+	case "/control/cancel":
+		b.serveCancel(ctx)
+	case "/control/drain":
+		b.serveDrain(ctx)
+	case "/control/health":
+		b.serveHealth(ctx)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func (b *Backend) serveGrant(ctx *fasthttp.RequestCtx) {
+	var order grantOrder
+	if !readJSON(ctx, &order) {
+		return
+	}
+	spans, err := parseSpans(order.Spans)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	highest, ok := b.grant(order.NotAfter, spans)
+	if !ok {
+		writeJSON(ctx, map[string]any{"highest-fence": highest})
+		ctx.SetStatusCode(fasthttp.StatusConflict)
+		return
+	}
+	writeJSON(ctx, b.receipt())
+}
+
+func (b *Backend) grant(notAfter int64, spans []fenced) (uint64, bool) {
+	b.lock()
+	defer b.mu.Unlock()
+	highest, ok := b.grants.replace(notAfter, spans)
+	if !ok {
+		return highest, false
+	}
+	for j := range b.jobs {
+		if j.running && b.grants.holds(j) {
+			j.until = notAfter
+		}
+	}
+	return highest, true
+}
+
+func (b *Backend) serveRevoke(ctx *fasthttp.RequestCtx) {
+	var order grantOrder
+	if !readJSON(ctx, &order) {
+		return
+	}
+	spans, err := parseSpans(order.Spans)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	b.revoke(spans)
+	writeJSON(ctx, b.receipt())
+}
+
+// revoke takes the spans away and waits for the runs that started before.
+func (b *Backend) revoke(spans []fenced) {
+	b.lock()
+	defer b.mu.Unlock()
+	b.grants.revoke(spans)
+	for b.runs(spans) && !b.killed {
+		b.ended.Wait()
+	}
+}
+
+func (b *Backend) runs(spans []fenced) bool {
+	for j := range b.jobs {
+		for _, s := range spans {
+			if j.running && j.fence <= s.fence && s.covers(j.service, j.hash) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (b *Backend) serveCancel(ctx *fasthttp.RequestCtx) {
+	var order struct {
+		RequestID string `json:"request-id"`
+	}
+	if readJSON(ctx, &order) {
+		writeJSON(ctx, map[string]any{"outcome": b.cancel(order.RequestID)})
+	}
+}
+
+func (b *Backend) serveDrain(ctx *fasthttp.RequestCtx) {
+	b.Drain()
+	b.options.Log.Info().Str("event", "backend-draining").Str("server", b.options.Name).Send()
+	writeJSON(ctx, b.receipt())
+}
+
+func (b *Backend) receipt() map[string]any {
+	return map[string]any{"server-clock": b.clock(), "incarnation": b.incarnation}
+}
+
+func (b *Backend) serveHealth(ctx *fasthttp.RequestCtx) {
+	b.lock()
+	defer b.mu.Unlock()
+	health := b.receipt()
+	status := "ok"
+	busy, queued := b.busy, len(b.queue)
+	switch {
+	case b.fault.LieLoad:
+		busy, queued = 0, 0
+	case b.draining:
+		status = "draining"
+	case b.cold():
+		status = "cold"
+	}
+	health["status"] = status
+	health["busy"] = busy
+	health["queued"] = queued
+	health["load"] = float64(busy+queued) / float64(b.options.Slots)
+	writeJSON(ctx, health)
+}
--- /dev/null
+++ b/internal/wire/conn.go
@@ -0,0 +1,161 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	bufferBytes = 4096
+	// maxInterim bounds the 1xx answers before the final one, so that a peer cannot keep a call
+	// busy with them.
+	maxInterim = 8
+)
+
+// past is a deadline that makes every read and write fail at once.
+var past = time.Unix(1, 0)
+
+// conn is one connection with its buffers. It records whether the current request was written.
+type conn struct {
+	net.Conn
+	options Options
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+	used    time.Time
+	wrote   bool
+}
+
+func newConn(n net.Conn, o Options) *conn {
+	c := &conn{Conn: n, options: o}
+	c.reader = bufio.NewReaderSize(n, bufferBytes)
+	c.writer = bufio.NewWriterSize(c, bufferBytes)
+	return c
+}
+
+// Write implements io.Writer and records whether the kernel took any byte.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if n > 0 {
+		c.wrote = true
+	}
+	return n, err
+}
+
+func (c *conn) roundTrip(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) (Trip, error) {
+	c.wrote = false
+	deadline, _ := ctx.Deadline()
+	if err := c.SetDeadline(deadline); err != nil {
+		return Trip{}, err
+	}
+	stop := context.AfterFunc(ctx, c.interrupt)
+	trip := Trip{Sent: c.options.Clock.Latest()}
+	err := c.exchange(ctx, request, response)
+	trip.Wrote = c.wrote
+	trip.Answered = c.options.Clock.Now()
+	trip.AnsweredLatest = c.options.Clock.Latest()
+	if !stop() && err == nil {
+		// interrupt has run or is running, so the connection's deadline is spoilt.
+		response.SetConnectionClose()
+	}
+	return trip, err
+}
+
+// close closes the connection. An error would only say that it is closed already.
+func (c *conn) close() {
+	_ = c.Close()
+}
+
+func (c *conn) interrupt() {
+	// An error means that the connection is closed, which ends the call as well.
+	_ = c.SetDeadline(past)
+}
+
+func (c *conn) exchange(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) error {
+	err := c.send(request)
+	if err == nil {
+		err = c.receive(request, response)
+	}
+	if err != nil && ctx.Err() != nil {
+		return errors.Join(ctx.Err(), err)
+	}
+	return err
+}
+
+func (c *conn) send(request *fasthttp.Request) error {
+	c.writer.Reset(c)
+	if err := request.Write(c.writer); err != nil {
+		return err
+	}
+	return c.writer.Flush()
+}
+
+func (c *conn) receive(request *fasthttp.Request, response *fasthttp.Response) error {
+	response.Reset()
+	response.SkipBody = request.Header.IsHead()
+	if err := c.receiveHeader(response); err != nil {
+		return err
+	}
+	if response.SkipBody || bodyless(response.StatusCode()) {
+		return nil
+	}
+	length := response.Header.ContentLength()
+	if length < -1 {
+		return ErrUnmarkedEnd
+	}
+	if err := response.ReadBody(c.reader, c.options.BodyBytes); err != nil {
+		return err
+	}
+	if length == -1 {
+		return response.Header.ReadTrailer(c.reader)
+	}
+	return nil
+}
+
+func (c *conn) receiveHeader(response *fasthttp.Response) error {
+	for range maxInterim {
+		if err := response.Header.Read(c.reader); err != nil {
+			return err
+		}
+		status := response.StatusCode()
+		if status < 100 || status > 199 {
+			return nil
+		}
+	}
+	return errors.New("the peer sent too many interim answers")
+}
+
+func bodyless(status int) bool {
+	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
+// quiet reports whether the connection is open and holds no unread byte. A byte before a request
+// belongs to an answer that was given up.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	readErr := io.EOF
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		if _, e := syscall.Read(int(fd), b[:]); e != nil {
+			readErr = e
+		}
+		return true
+	})
+	return err == nil && errors.Is(readErr, syscall.EAGAIN)
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,279 @@
+// Package wire sends HTTP requests over a bounded pool of connections to one address and tells
+// whether any byte of a request was written.
+//
+// That distinction decides whether a request may safely be repeated, so the pool never retries by
+// itself and does its own reading and writing with the message types of fasthttp: the client of
+// fasthttp retries idempotent requests and does not report whether it wrote. A connection with an
+// error, or with bytes or an end of stream before its request, is closed and never used again.
+// Only answers whose end is marked, by Content-Length or by chunks, count as complete.
+//
+// # Usage
+//
+//	pool := wire.New(address, wire.Options{Connections: 11, Clock: clock.System()})
+//	defer pool.Close()
+//	trip, err := pool.Do(ctx, request, response, wire.Hooks{})
+//	if err != nil && !trip.Wrote {
+//		// the peer has seen nothing of the request
+//	}
+package wire
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphiredrum/samphiredrum/pkg/clock"
+)
+
+const (
+	defaultConnections = 11
+	defaultBodyBytes   = 1 << 20
+	defaultIdle        = 30 * time.Second
+	defaultDial        = time.Second
+)
+
+// ErrClosed is returned by calls on a closed pool.
+var ErrClosed = errors.New("the connection pool is closed")
+
+// ErrUnmarkedEnd is returned for an answer that has neither Content-Length nor chunks: its end
+// cannot be told from a cut connection.
+var ErrUnmarkedEnd = errors.New("the answer does not mark its end with Content-Length or chunks")
+
+// Options are the limits of a Pool. Zero values take the defaults.
+type Options struct {
+	// Connections is the largest number of open connections, 11 by default.
+	Connections int
+	// BodyBytes is the largest body of an answer, 1 MiB by default.
+	BodyBytes int
+	// Idle is how long an unused connection is kept, 30 s by default.
+	Idle time.Duration
+	// Dial is the longest time to open a connection, 1 s by default.
+	Dial time.Duration
+	// Clock is read for the times of a Trip, the system clock by default.
+	Clock clock.Clock
+}
+
+// Trip is the timing of one request.
+type Trip struct {
+	// Wrote reports whether any byte of the request was written.
+	Wrote bool
+	// Sent is clock.Clock.Latest from before the first byte was written, for holders of leases.
+	Sent time.Time
+	// Answered is clock.Clock.Now from after the whole answer was read, for granters of leases.
+	Answered time.Time
+	// AnsweredLatest is clock.Clock.Latest at the same moment, for the mapping of a server's clock
+	// to deadlines that were taken from Latest.
+	AnsweredLatest time.Time
+}
+
+// Hooks are called during a request. Nil hooks are skipped.
+type Hooks struct {
+	// Before is called once a connection is free, before the first byte is written. Its error
+	// ends the call with nothing written.
+	Before func() error
+	// After is called with the complete answer. Its error closes the connection.
+	After func() error
+}
+
+// Pool is a bounded set of connections to one address. It is safe for concurrent use.
+type Pool struct {
+	address netip.AddrPort
+	options Options
+	slots   chan struct{}
+	mu      sync.Mutex
+	idle    []*conn
+	busy    map[*conn]struct{}
+	closed  bool
+}
+
+// New returns a Pool for address. It opens connections when they are needed.
+func New(address netip.AddrPort, o Options) *Pool {
+	o = o.withDefaults()
+	return &Pool{
+		address: address,
+		options: o,
+		slots:   make(chan struct{}, o.Connections),
+		busy:    map[*conn]struct{}{},
+	}
+}
+
+func (o Options) withDefaults() Options {
+	if o.Connections <= 0 {
+		o.Connections = defaultConnections
+	}
+	if o.BodyBytes <= 0 {
+		o.BodyBytes = defaultBodyBytes
+	}
+	if o.Idle <= 0 {
+		o.Idle = defaultIdle
+	}
+	if o.Dial <= 0 {
+		o.Dial = defaultDial
+	}
+	if o.Clock == nil {
+		o.Clock = clock.System()
+	}
+	return o
+}
+
+// Do sends request once and reads its answer into response. It waits for a free connection no
+// longer than ctx allows. When ctx ends, the connection is closed. The Trip is valid with an
+// error, too; Wrote false then means that the peer has seen nothing of the request.
+func (p *Pool) Do(
+	ctx context.Context, request *fasthttp.Request, response *fasthttp.Response, h Hooks,
+) (Trip, error) {
+	c, err := p.acquire(ctx)
+	if err != nil {
+		return Trip{}, err
+	}
+	if err := h.before(); err != nil {
+		p.release(c, true)
+		return Trip{}, err
+	}
+	trip, err := c.roundTrip(ctx, request, response)
+	if err == nil {
+		err = h.after()
+	}
+	keep := err == nil && !response.ConnectionClose() && !request.ConnectionClose()
+	p.release(c, keep)
+	return trip, err
+}
+
+func (h Hooks) before() error {
+	if h.Before == nil {
+		return nil
+	}
+	return h.Before()
+}
+
+func (h Hooks) after() error {
+	if h.After == nil {
+		return nil
+	}
+	return h.After()
+}
+
+// Connected reports whether a connection of the pool is open and has not been closed by the peer.
+func (p *Pool) Connected() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.busy) > 0 {
+		return true
+	}
+	p.dropStale()
+	return len(p.idle) > 0
+}
+
+// Close closes every connection. Calls in flight fail.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		c.close()
+	}
+	p.idle = nil
+	for c := range p.busy {
+		c.close()
+	}
+}
+
+// Dial opens a connection outside the pool, for a probe. The caller closes it.
+func (p *Pool) Dial(ctx context.Context) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout: p.options.Dial,
+		// Finds within about 3 s that the peer's machine was replaced while a connection was idle.
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
+	}
+	return d.DialContext(ctx, "tcp", p.address.String())
+}
+
+func (p *Pool) acquire(ctx context.Context) (*conn, error) {
+	// A call whose time is over is not sent, even where a connection is free.
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	select {
+	case p.slots <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	c, err := p.take()
+	if err == nil && c == nil {
+		c, err = p.open(ctx)
+	}
+	if err != nil {
+		<-p.slots
+		return nil, err
+	}
+	return c, nil
+}
+
+// take returns an idle connection that is still usable, or nil.
+func (p *Pool) take() (*conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, ErrClosed
+	}
+	p.dropStale()
+	if len(p.idle) == 0 {
+		return nil, nil
+	}
+	last := len(p.idle) - 1
+	c := p.idle[last]
+	p.idle = p.idle[:last]
+	p.busy[c] = struct{}{}
+	return c, nil
+}
+
+// dropStale closes idle connections that the peer has closed, that hold unexpected bytes or that
+// are too old. Without it, a request written to a connection closed by the peer would have an
+// unknown outcome. The caller holds the lock.
+func (p *Pool) dropStale() {
+	oldest := time.Now().Add(-p.options.Idle)
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if c.used.Before(oldest) || !c.quiet() {
+			c.close()
+			continue
+		}
+		kept = append(kept, c)
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+}
+
+func (p *Pool) open(ctx context.Context) (*conn, error) {
+	n, err := p.Dial(ctx)
+	if err != nil {
+		return nil, err
+	}
+	c := newConn(n, p.options)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		c.close()
+		return nil, ErrClosed
+	}
+	p.busy[c] = struct{}{}
+	return c, nil
+}
+
+func (p *Pool) release(c *conn, keep bool) {
+	p.mu.Lock()
+	delete(p.busy, c)
+	if keep && !p.closed {
+		c.used = time.Now()
+		p.idle = append(p.idle, c)
+	} else {
+		c.close()
+	}
+	p.mu.Unlock()
+	<-p.slots
+}
