Map deadlines to server clocks on the clock that does not step

A server's clock has to be observed with Trip.Answered. Only the connection that is taken is checked before a call, no longer every idle one.

--- a/internal/back/head.go
+++ b/internal/back/head.go
@@ -35,8 +35,10 @@
 	"Transfer-Encoding", "Upgrade",
 )
 
-// perConnection are the header fields of an answer that are not handed on.
-var perConnection = fields(
+// private are the header fields of an answer that are not handed on: those of one connection, and
+// those between a server and this package.
+var private = fields(
+	headerRequestID, headerServerClock, headerIncarnation,
 	"Connection", "Content-Length", "Keep-Alive", "Proxy-Connection", "Trailer", "Transfer-Encoding", "Upgrade",
 )
 
@@ -146,7 +148,7 @@
 func readHeaders(r *fasthttp.Response) []Header {
 	var headers []Header
 	for name, value := range r.Header.All() {
-		if _, skip := perConnection[strings.ToLower(string(name))]; !skip {
+		if _, skip := private[strings.ToLower(string(name))]; !skip {
 			headers = append(headers, Header{Name: string(name), Value: string(value)})
 		}
 	}
--- a/internal/stand/serve.go
+++ b/internal/stand/serve.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -138,11 +139,12 @@
 }
 
 // serveFault changes the faults that the body names and leaves the others. A freeze in progress is
-// not repeated unless the body names it.
+// not repeated unless the body names it. The faults take effect once the answer has been written,
+// so that a freeze does not hold its own answer back.
 func (b *Backend) serveFault(ctx *fasthttp.RequestCtx) {
 	fault := b.Fault()
 	fault.FreezeMs = 0
 	if readJSON(ctx, &fault) {
-		b.SetFault(fault)
+		ctx.Hijack(func(net.Conn) { b.SetFault(fault) })
 	}
 }
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -59,7 +59,6 @@
 	err := c.exchange(ctx, request, response)
 	trip.Wrote = c.wrote
 	trip.Answered = c.options.Clock.Now()
-	trip.AnsweredLatest = c.options.Clock.Latest()
 	if !stop() && err == nil {
 		// interrupt has run or is running, so the connection's deadline is spoilt.
 		response.SetConnectionClose()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -64,11 +64,9 @@
 	Wrote bool
 	// Sent is clock.Clock.Latest from before the first byte was written, for holders of leases.
 	Sent time.Time
-	// Answered is clock.Clock.Now from after the whole answer was read, for granters of leases.
+	// Answered is clock.Clock.Now from after the exchange, for granters of leases and for the
+	// mapping of a server's clock.
 	Answered time.Time
-	// AnsweredLatest is clock.Clock.Latest at the same moment, for the mapping of a server's clock
-	// to deadlines that were taken from Latest.
-	AnsweredLatest time.Time
 }
 
 // Hooks are called during a request. Nil hooks are skipped.
@@ -165,7 +163,7 @@
 	if len(p.busy) > 0 {
 		return true
 	}
-	p.dropStale()
+	p.dropUnusable()
 	return len(p.idle) > 0
 }
 
@@ -221,29 +219,36 @@
 	if p.closed {
 		return nil, ErrClosed
 	}
-	p.dropStale()
-	if len(p.idle) == 0 {
-		return nil, nil
+	for len(p.idle) > 0 {
+		last := len(p.idle) - 1
+		c := p.idle[last]
+		p.idle[last] = nil
+		p.idle = p.idle[:last]
+		if p.usable(c) {
+			p.busy[c] = struct{}{}
+			return c, nil
+		}
+		c.close()
 	}
-	last := len(p.idle) - 1
-	c := p.idle[last]
-	p.idle = p.idle[:last]
-	p.busy[c] = struct{}{}
-	return c, nil
+	return nil, nil
 }
 
-// dropStale closes idle connections that the peer has closed, that hold unexpected bytes or that
-// are too old. Without it, a request written to a connection closed by the peer would have an
-// unknown outcome. The caller holds the lock.
-func (p *Pool) dropStale() {
-	oldest := time.Now().Add(-p.options.Idle)
+// usable reports whether the peer has neither closed an idle connection nor sent anything on it,
+// and whether it is not too old. Without this check, a request written to a connection that the
+// peer had closed would have an unknown outcome.
+func (p *Pool) usable(c *conn) bool {
+	return time.Since(c.used) < p.options.Idle && c.quiet()
+}
+
+// dropUnusable closes idle connections that are of no further use. The caller holds the lock.
+func (p *Pool) dropUnusable() {
 	kept := p.idle[:0]
 	for _, c := range p.idle {
-		if c.used.Before(oldest) || !c.quiet() {
-			c.close()
+		if p.usable(c) {
+			kept = append(kept, c)
 			continue
 		}
-		kept = append(kept, c)
+		c.close()
 	}
 	clear(p.idle[len(kept):])
 	p.idle = kept
