--- a/pkg/owner/actions.go
+++ b/pkg/owner/actions.go
@@ -54,7 +54,11 @@
 }
 
 // ProbeServer asks for a server's health; the answer is ServerAnswered or ServerEnded.
-type ProbeServer struct{ Server assign.ServerID }
+type ProbeServer struct {
+	Server assign.ServerID
+	// Incarnation is the run of the server that the Decider knows, "" where it knows none.
+	Incarnation string
+}
 
 // WriteRecord stores the record by conditional update, and by create-if-absent where IfVersion is
 // 0. The answer is RecordWritten or RecordFailed.
@@ -121,8 +125,8 @@
 	NoteProcessLost
 	// NoteRecord is a record that was stored.
 	NoteRecord
+	// NoteRecorders is a bucket that got other recorders.
+	NoteRecorders
 	// NoteHorizon is a bucket both of whose recorders were lost.
 	NoteHorizon
-	// NoteExhausted is a span without a live successor.
-	NoteExhausted
 )
--- a/pkg/owner/events.go
+++ b/pkg/owner/events.go
@@ -40,6 +40,8 @@
 type ProcessAnswered struct {
 	Process     assign.ProcessID
 	Incarnation string
+	// Term is that of the Answer. An answer for another term is ignored.
+	Term uint64
 	// Sent is the process's reading of its own clock, to be echoed.
 	Sent time.Time
 	// Version is the highest table version that the process has applied and counted calls for.
@@ -49,7 +51,8 @@
 	InFlight map[assign.ServerID]int
 }
 
-// ProcessEnded is the proof that the run of a process has ended; silence is none.
+// ProcessEnded is the proof that the run of a process has ended; silence is none. An empty
+// Incarnation stands for the runs that have not answered in this term.
 type ProcessEnded struct {
 	Process     assign.ProcessID
 	Incarnation string
@@ -74,9 +77,13 @@
 	Draining bool
 }
 
-// ServerEnded is the proof that the process of a server has ended.
+// ServerEnded is the proof that a run of a server has ended: a connection attempt for a ProbeServer
+// was refused, or the VM is gone.
 type ServerEnded struct {
 	Server assign.ServerID
+	// Incarnation is that of the ProbeServer. A proof about an earlier run than the one that the
+	// Decider knows by now is ignored.
+	Incarnation string
 	// Gone is set where the VM has left the platform's list, so that no other run of the server
 	// can receive calls that were meant for this one.
 	Gone bool
@@ -137,6 +144,12 @@
 	Cancel bool
 }
 
+// DrainProcess asks to move the recorder buckets of a process, or with Cancel to use it again.
+type DrainProcess struct {
+	Process assign.ProcessID
+	Cancel  bool
+}
+
 // BucketCopied reports that a new recorder has copied the bucket at the generation.
 type BucketCopied struct {
 	Process    assign.ProcessID
@@ -161,3 +174,4 @@
 func (LoadReported) deciderEvent()    {}
 func (DrainServer) deciderEvent()     {}
 func (BucketCopied) deciderEvent()    {}
+func (DrainProcess) deciderEvent()    {}
--- a/pkg/owner/follower.go
+++ b/pkg/owner/follower.go
@@ -31,9 +31,8 @@
 
 // InFlightCounted reports the calls that still have to finish for an applied version, for each
 // server: those sent under an earlier version for spans that are not open at that server with the
-// same fence in Version. Calls to servers of kind deadlines may be left out once their Not-After
-// has passed in the server's clock by its latest reading, or twice the rate margin and the slack
-// after it has passed here.
+// same fence in Version. A call to a server of kind deadlines may be left out once the deadline that
+// was mapped to its Not-After has passed by clock.Clock.Now; not by Latest, which may have stepped.
 type InFlightCounted struct {
 	Version  uint64
 	InFlight map[assign.ServerID]int
--- a/pkg/owner/notekind_enumer.go
+++ b/pkg/owner/notekind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _NoteKindName = "tableclosedopenedserver-lostserver-backprocess-lostrecordhorizonexhausted"
+const _NoteKindName = "tableclosedopenedserver-lostserver-backprocess-lostrecordrecordershorizon"
 
-var _NoteKindIndex = [...]uint8{0, 5, 11, 17, 28, 39, 51, 57, 64, 73}
+var _NoteKindIndex = [...]uint8{0, 5, 11, 17, 28, 39, 51, 57, 66, 73}
 
-const _NoteKindLowerName = "tableclosedopenedserver-lostserver-backprocess-lostrecordhorizonexhausted"
+const _NoteKindLowerName = "tableclosedopenedserver-lostserver-backprocess-lostrecordrecordershorizon"
 
 func (i NoteKind) String() string {
 	if i < 0 || i >= NoteKind(len(_NoteKindIndex)-1) {
@@ -31,11 +31,11 @@
 	_ = x[NoteServerBack-(4)]
 	_ = x[NoteProcessLost-(5)]
 	_ = x[NoteRecord-(6)]
-	_ = x[NoteHorizon-(7)]
-	_ = x[NoteExhausted-(8)]
+	_ = x[NoteRecorders-(7)]
+	_ = x[NoteHorizon-(8)]
 }
 
-var _NoteKindValues = []NoteKind{NoteTable, NoteClosed, NoteOpened, NoteServerLost, NoteServerBack, NoteProcessLost, NoteRecord, NoteHorizon, NoteExhausted}
+var _NoteKindValues = []NoteKind{NoteTable, NoteClosed, NoteOpened, NoteServerLost, NoteServerBack, NoteProcessLost, NoteRecord, NoteRecorders, NoteHorizon}
 
 var _NoteKindNameToValueMap = map[string]NoteKind{
 	_NoteKindName[0:5]:        NoteTable,
@@ -52,10 +52,10 @@
 	_NoteKindLowerName[39:51]: NoteProcessLost,
 	_NoteKindName[51:57]:      NoteRecord,
 	_NoteKindLowerName[51:57]: NoteRecord,
-	_NoteKindName[57:64]:      NoteHorizon,
-	_NoteKindLowerName[57:64]: NoteHorizon,
-	_NoteKindName[64:73]:      NoteExhausted,
-	_NoteKindLowerName[64:73]: NoteExhausted,
+	_NoteKindName[57:66]:      NoteRecorders,
+	_NoteKindLowerName[57:66]: NoteRecorders,
+	_NoteKindName[66:73]:      NoteHorizon,
+	_NoteKindLowerName[66:73]: NoteHorizon,
 }
 
 var _NoteKindNames = []string{
@@ -66,8 +66,8 @@
 	_NoteKindName[28:39],
 	_NoteKindName[39:51],
 	_NoteKindName[51:57],
-	_NoteKindName[57:64],
-	_NoteKindName[64:73],
+	_NoteKindName[57:66],
+	_NoteKindName[66:73],
 }
 
 // NoteKindString retrieves an enum value from the enum constants string name.
