--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -47,12 +47,13 @@
 // exchange sends the call and ends its count in flight where the server can no longer run it.
 func (s *send) exchange(ctx context.Context, c *Call, f *flight) Result {
 	server := c.target.server
-	latest := s.router.config.Clock.Latest()
-	expires := s.router.Expires()
-	deadline := c.LatestDeadline
-	if f != nil && expires.Before(deadline) {
+	now := s.router.config.Clock.Now()
+	deadline := c.Deadline
+	// The lease is read on Latest, which may be ahead of Now; what is left of it is the same on both.
+	lent := now.Add(s.router.Expires().Sub(s.router.config.Clock.Latest()))
+	if f != nil && lent.Before(deadline) {
 		// The serving lease caps Not-After, so that its lapse is known to end the call.
-		deadline = expires
+		deadline = lent
 	}
 	notAfter, known := server.NotAfter(deadline)
 	if f != nil && !known && server.Fencing != assign.None {
@@ -69,7 +70,7 @@
 		return answered(answer)
 	}
 	if f != nil && back.KindOf(err) == back.Unknown && !s.ended(c, server) {
-		server.hold(f, incarnation, deadline.Sub(latest))
+		server.hold(f, incarnation, deadline.Sub(now))
 	} else {
 		leave(f)
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -48,7 +48,7 @@
 		s.resolve(receipt.Incarnation)
 	}
 	if !receipt.ServerClock.IsZero() {
-		s.clock.Observe(receipt.Trip.AnsweredLatest, receipt.ServerClock)
+		s.clock.Observe(receipt.Trip.Answered, receipt.ServerClock)
 	}
 }
 
@@ -79,7 +79,7 @@
 	return s.incarnation
 }
 
-// NotAfter maps a deadline, a reading of clock.Clock.Latest, to the server's clock.
+// NotAfter maps a deadline, a reading of clock.Clock.Now, to the server's clock.
 func (s *Server) NotAfter(deadline time.Time) (time.Time, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/internal/node/decide.go
@@ -0,0 +1,251 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/samphiredrum/samphiredrum/internal/back"
+	"github.com/samphiredrum/samphiredrum/internal/entry"
+	"github.com/samphiredrum/samphiredrum/internal/store"
+	"github.com/samphiredrum/samphiredrum/pkg/assign"
+	"github.com/samphiredrum/samphiredrum/pkg/elect"
+	"github.com/samphiredrum/samphiredrum/pkg/event"
+	"github.com/samphiredrum/samphiredrum/pkg/owner"
+)
+
+// Times of the decider's tasks.
+const (
+	// serverTime bounds a grant or probe. It is below the silence after which a server counts as
+	// lost, so that one lost packet does not make a server silent.
+	serverTime = 400 * time.Millisecond
+	// revokeTime bounds a revoke, which waits for work that runs.
+	revokeTime = 2 * time.Second
+)
+
+// recordPrefix is where the assignment records are stored.
+const recordPrefix = "assignments/"
+
+// decide steps the decider and carries out its actions. Without the term it does nothing.
+func (c *control) decide(e owner.DeciderEvent) {
+	if c.leading == nil {
+		return
+	}
+	// The time is read before the term is checked: otherwise a pause between the two could let a
+	// process without the term act.
+	now := c.node.clock.Now()
+	if !c.machine.Leads(c.node.clock.Latest()) {
+		c.elect(elect.Tick{Latest: c.node.clock.Latest()})
+		return
+	}
+	for _, action := range c.decider.Step(now, e) {
+		c.carryOut(action)
+	}
+}
+
+func (c *control) carryOut(action owner.DeciderAction) {
+	n := c.node
+	switch a := action.(type) {
+	case owner.SendBeat:
+		if c.leading != nil {
+			c.sendBeat(a)
+		}
+	case owner.SendGrant:
+		if s := c.servers.get(a.Server); s != nil {
+			n.group.Go((&grantTask{node: n, server: s, action: a}).run)
+		}
+	case owner.SendRevoke:
+		if s := c.servers.get(a.Server); s != nil {
+			n.group.Go((&revokeTask{node: n, server: s, action: a}).run)
+		}
+	case owner.ProbeServer:
+		if s := c.servers.get(a.Server); s != nil {
+			n.group.Go((&probeTask{node: n, server: s, askedAt: n.clock.Now()}).run)
+		}
+	case owner.WriteRecord:
+		n.group.Go((&writeTask{node: n, action: a}).run)
+	case owner.ReadRecord:
+		n.group.Go((&readTask{node: n}).run)
+	case owner.StepDown:
+		c.note(event.Event{Kind: event.TermLost, Detail: a.Reason.String()})
+		c.endTerm()
+		c.elect(elect.Release{})
+	case owner.Note:
+		c.noteDecision(a)
+	}
+}
+
+// noteKinds maps the notes of the decider to control events.
+var noteKinds = map[owner.NoteKind]event.Kind{
+	owner.NoteClosed:      event.Move,
+	owner.NoteServerLost:  event.Fault,
+	owner.NoteServerBack:  event.Fault,
+	owner.NoteProcessLost: event.Fault,
+	owner.NoteRecord:      event.RecordWritten,
+	owner.NoteHorizon:     event.Fault,
+}
+
+func (c *control) noteDecision(a owner.Note) {
+	kind, ok := noteKinds[a.Kind]
+	if !ok {
+		return
+	}
+	e := event.Event{Kind: kind, Service: a.Service, Server: a.Server, Fence: a.Fence, Version: a.Version, Detail: a.Kind.String()}
+	if a.Process != "" {
+		e.Detail += " " + string(a.Process)
+	}
+	if a.Service != "" {
+		e = e.On(a.Span)
+	}
+	c.note(e)
+}
+
+// grantTask sends a grant to a server.
+type grantTask struct {
+	node   *Node
+	server *entry.Server
+	action owner.SendGrant
+}
+
+func (t *grantTask) run() {
+	ctx, cancel := context.WithTimeout(t.node.ctx, serverTime)
+	defer cancel()
+	notAfter, known := t.server.NotAfter(t.action.Deadline)
+	if !known {
+		health, err := t.server.Client.Health(ctx)
+		if err != nil {
+			return
+		}
+		t.server.Observe(health.Receipt)
+		if notAfter, known = t.server.NotAfter(t.action.Deadline); !known {
+			return
+		}
+	}
+	receipt, err := t.server.Client.Grant(ctx, notAfter, granted(t.action.Spans))
+	if err != nil && back.KindOf(err) != back.Stale {
+		return
+	}
+	if err == nil {
+		t.server.Observe(receipt)
+	}
+	t.node.post(grantAnswered{event: owner.GrantAnswered{
+		Server: t.server.ID, Incarnation: receipt.Incarnation, Version: t.action.Version, OK: err == nil,
+	}})
+}
+
+func granted(spans []owner.Grant) []back.Granted {
+	list := make([]back.Granted, len(spans))
+	for i, s := range spans {
+		list[i] = back.Granted{Service: s.Service, Span: s.Span, Fence: s.Fence}
+	}
+	return list
+}
+
+// revokeTask takes spans from a server.
+type revokeTask struct {
+	node   *Node
+	server *entry.Server
+	action owner.SendRevoke
+}
+
+func (t *revokeTask) run() {
+	ctx, cancel := context.WithTimeout(t.node.ctx, revokeTime)
+	defer cancel()
+	_, err := t.server.Client.Revoke(ctx, granted(t.action.Spans))
+	t.node.post(revokeAnswered{event: owner.RevokeAnswered{Server: t.server.ID, Version: t.action.Version, OK: err == nil}})
+}
+
+// probeTask finds out whether a server lives.
+type probeTask struct {
+	node    *Node
+	server  *entry.Server
+	askedAt time.Time
+}
+
+func (t *probeTask) run() {
+	ctx, cancel := context.WithTimeout(t.node.ctx, serverTime)
+	defer cancel()
+	probe := t.server.Client.Probe(ctx)
+	t.node.post(serverProbed{server: t.server.ID, askedAt: t.askedAt, probe: probe})
+}
+
+func (c *control) serverProbed(m serverProbed) {
+	s := c.servers.get(m.server)
+	if s == nil {
+		return
+	}
+	switch m.probe.Liveness {
+	case back.Alive:
+		s.Observe(m.probe.Health.Receipt)
+		c.decide(owner.ServerAnswered{
+			Server:      m.server,
+			Incarnation: m.probe.Health.Incarnation,
+			AskedAt:     m.askedAt,
+			Idle:        m.probe.Health.Busy == 0 && m.probe.Health.Queued == 0,
+			Draining:    m.probe.Health.Status == back.StatusDraining,
+		})
+	case back.Ended:
+		s.Ended()
+		c.decide(owner.ServerEnded{Server: m.server})
+	case back.Silent:
+	}
+}
+
+// suspected probes a server at once that refused a connection.
+func (c *control) suspected(m serverSuspected) {
+	s := c.servers.get(m.server)
+	if s == nil || c.leading == nil {
+		return
+	}
+	c.node.group.Go((&probeTask{node: c.node, server: s, askedAt: c.node.clock.Now()}).run)
+}
+
+func (n *Node) recordName() string {
+	return recordPrefix + n.settings.User
+}
+
+// writeTask stores the record.
+type writeTask struct {
+	node   *Node
+	action owner.WriteRecord
+}
+
+func (t *writeTask) run() {
+	ctx, cancel := context.WithTimeout(t.node.ctx, t.node.settings.Timing.StoreTimeout)
+	defer cancel()
+	token := t.action.Record.Token
+	text, err := json.Marshal(t.action.Record)
+	if err != nil {
+		t.node.log.Error().Err(err).Msg("the record cannot be encoded")
+		return
+	}
+	version, err := t.node.api.Put(ctx, t.node.recordName(), text, t.action.IfVersion)
+	if err != nil {
+		conflict := store.KindOf(err) == store.Conflict
+		t.node.post(recordAnswered{event: owner.RecordFailed{Token: token, Conflict: conflict}})
+		return
+	}
+	t.node.post(recordAnswered{event: owner.RecordWritten{Version: version, Token: token}})
+}
+
+// readTask reads the record.
+type readTask struct{ node *Node }
+
+func (t *readTask) run() {
+	ctx, cancel := context.WithTimeout(t.node.ctx, t.node.settings.Timing.StoreTimeout)
+	defer cancel()
+	object, err := t.node.api.Get(ctx, t.node.recordName())
+	switch store.KindOf(err) {
+	case store.NoError:
+		record := new(assign.Record)
+		if err := json.Unmarshal(object.Value, record); err != nil {
+			t.node.log.Error().Err(err).Msg("the stored record cannot be read; restore the object from the platform's history")
+			return
+		}
+		t.node.post(recordAnswered{event: owner.RecordRead{Record: record, Version: object.Version}})
+	case store.NotFound:
+		t.node.post(recordAnswered{event: owner.RecordRead{}})
+	case store.Conflict, store.Limited, store.TooOld, store.Unknown, store.Down:
+		// The decider asks again.
+	}
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -6,6 +6,7 @@
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 	"github.com/samphiredrum/samphiredrum/pkg/dedup"
 	"github.com/samphiredrum/samphiredrum/pkg/event"
+	"github.com/samphiredrum/samphiredrum/pkg/limit"
 )
 
 // Header is carried by every message.
@@ -33,28 +34,37 @@
 // ClaimRequest asks an elector for its promise to a new decider.
 type ClaimRequest struct {
 	Header
-	Term uint64
+	Term            uint64
+	ElectorsVersion uint64
+	// Probe asks only whether a claim would be granted.
+	Probe bool
 }
 
 // ClaimAnswer is the elector's answer, with its state, from which a new decider starts.
 type ClaimAnswer struct {
 	Header
-	Granted     bool
-	HighestTerm uint64
-	State       State
+	Granted         bool
+	HighestTerm     uint64
+	ElectorsVersion uint64
+	State           State
 }
 
 // BeatRequest is the decider's heartbeat. It renews the decider's term and the receiver's serving
 // lease, and carries what the receiver has not acknowledged yet.
 type BeatRequest struct {
 	Header
-	Term uint64
+	Term            uint64
+	ElectorsVersion uint64
+	// Incarnation is the run of the receiver that the lease is meant for.
+	Incarnation string
 	// Echo is the Stamp of the receiver's last answer, the zero time where there was none.
 	Echo time.Time
 	// Lease is the length of the serving lease, counted from Echo. Zero grants none.
 	Lease time.Duration
 	// Table is nil where the receiver has acknowledged the current version.
 	Table *assign.Table
+	// Held is the highest table version that a majority of the electors holds.
+	Held uint64
 	// Teams are the teams of which the receiver holds a lower version.
 	Teams []Team
 	// Versions are the versions in force of all teams.
@@ -64,9 +74,12 @@
 // BeatAnswer is a follower's answer to a heartbeat.
 type BeatAnswer struct {
 	Header
+	// Accepted reports whether the receiver takes the sender for the decider.
+	Accepted bool
 	// Promised reports whether the receiver renewed its promise to the decider as an elector.
-	Promised    bool
-	HighestTerm uint64
+	Promised        bool
+	HighestTerm     uint64
+	ElectorsVersion uint64
 	// Stamp is the receiver's time, to be echoed in the next heartbeat.
 	Stamp time.Time
 	// TableVersion is the version that the receiver has applied.
@@ -76,26 +89,38 @@
 	InFlight map[assign.ServerID]int
 	// Versions are the versions of all teams that the receiver has in force.
 	Versions map[string]uint64
-	// Load counts the calls of each span since the last answer.
+	// Load is the calls of each span since the last answer.
 	Load []SpanLoad
+	// Copied are the buckets with their generations that the receiver has copied as a recorder.
+	Copied []CopiedBucket
+	// Draining reports that the receiver is at a planned stop.
+	Draining bool
 	// Incarnation tells a restarted process from its predecessor.
-	Incarnation uint64
+	Incarnation string
+}
+
+// CopiedBucket is a bucket of booking identifiers at one generation.
+type CopiedBucket struct {
+	Bucket     int
+	Generation uint64
 }
 
-// SpanLoad counts calls of one span.
+// SpanLoad is the calls of one span, in calls a second.
 type SpanLoad struct {
 	Service assign.ServiceID
 	Span    assign.Span
-	Calls   uint64
-	// HotHash is the most frequent key hash seen, and HotCalls its approximate count.
-	HotHash  uint64
-	HotCalls uint64
+	Rate    float64
+	// HotHash is the most frequent key hash seen, and HotRate a lower bound of its rate.
+	HotHash uint64
+	HotRate float64
 }
 
 // ReleaseRequest tells electors that a decider has given up its term.
 type ReleaseRequest struct {
 	Header
 	Term uint64
+	// Next asks the receiver to claim without delay.
+	Next bool
 }
 
 // ReleaseAnswer is the empty answer to a ReleaseRequest.
@@ -107,7 +132,9 @@
 // StateAnswer is the receiver's state.
 type StateAnswer struct {
 	Header
-	State State
+	State           State
+	HighestTerm     uint64
+	ElectorsVersion uint64
 	// Learned reports whether the receiver itself holds a state that counts for a majority.
 	Learned bool
 }
@@ -138,20 +165,24 @@
 	Electors int
 }
 
-// TokenRequest asks the keeper of a server for a token for long work.
+// TokenRequest tells the keeper of a server about tokens for long work. One of its parts is set.
 type TokenRequest struct {
 	Header
 	Server assign.ServerID
-	Length time.Duration
-	// Token is zero to acquire, or the token to give back.
-	Token uint64
+	// Asked asks for a token.
+	Asked *limit.TokenAsked
+	// Returned gives a token back.
+	Returned *limit.TokenReturned
+	// Reported tells a new keeper the tokens in use.
+	Reported *limit.LongReported
 }
 
-// TokenAnswer is the keeper's answer.
+// TokenAnswer is the keeper's answer to TokenRequest.Asked.
 type TokenAnswer struct {
 	Header
-	Granted bool
-	Token   uint64
+	Given bool
+	// Wait is how long to wait before asking again where no token was given.
+	Wait time.Duration
 }
 
 // ReserveRequest asks a recorder to reserve a booking identifier.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -21,6 +21,7 @@
 	"net/netip"
 	"net/rpc"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -285,3 +286,9 @@
 		l.client = nil
 	}
 }
+
+// Refused reports whether an error of a Link proves that the peer's process has ended: its address
+// refused a connection.
+func Refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/pkg/owner/buckets.go
+++ b/pkg/owner/buckets.go
@@ -3,9 +3,11 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
+	"github.com/samphiredrum/samphiredrum/pkg/dedup"
 )
 
 const (
@@ -142,11 +144,13 @@
 	}
 	kept := d.withoutDraining(alive, b.Copying, from)
 	next := d.extendRecorders(kept, from, load)
-	if !forgotten && slices.Equal(next, b.Recorders) {
+	members := d.members(*b, kept, next)
+	if !forgotten && sameRecorders(*b, members) {
 		return
 	}
 	d.act(Note{Kind: NoteRecorders, Version: b.Generation + 1})
-	*b = assign.Bucket{Generation: b.Generation + 1, Horizon: b.Horizon, Recorders: next}
+	// The version of a horizon that rises is known when the table is made.
+	*b = dedup.Reassign(*b, 0, members)
 	b.Copying = !forgotten && len(next) > len(kept)
 	if forgotten {
 		d.raised = append(d.raised, i)
@@ -155,6 +159,54 @@
 	d.record.dirty = true
 }
 
+// members returns the recorders with their present runs. Only a survivor that holds the bucket is
+// ready; the others copy it.
+func (d *Decider) members(b assign.Bucket, kept, next []assign.ProcessID) []dedup.Member {
+	members := make([]dedup.Member, len(next))
+	for i, id := range next {
+		members[i] = dedup.Member{
+			Process:     id,
+			Incarnation: d.incarnation(b, id),
+			Ready:       slices.Contains(kept, id) && (!b.Copying || id == b.Recorders[0]),
+		}
+	}
+	return members
+}
+
+// incarnation returns the number of the process's present run. A process that has not answered in
+// this term counts as the run that the bucket lists.
+func (d *Decider) incarnation(b assign.Bucket, id assign.ProcessID) uint64 {
+	if r := d.current[id]; r != nil {
+		return runNumber(r.Incarnation)
+	}
+	if i := slices.Index(b.Recorders, id); i >= 0 && i < len(b.Incarnations) {
+		return b.Incarnations[i]
+	}
+	return 0
+}
+
+func runNumber(incarnation string) uint64 {
+	n, err := strconv.ParseUint(incarnation, 10, 64)
+	if err != nil {
+		// An embedder may name runs by other texts; a hash tells them apart as well.
+		return assign.Hash(incarnation)
+	}
+	return n
+}
+
+// sameRecorders reports whether the bucket already has these recorders in their present runs.
+func sameRecorders(b assign.Bucket, members []dedup.Member) bool {
+	if len(b.Recorders) != len(members) || len(b.Incarnations) != len(members) {
+		return false
+	}
+	for i, m := range members {
+		if b.Recorders[i] != m.Process || b.Incarnations[i] != m.Incarnation {
+			return false
+		}
+	}
+	return true
+}
+
 // withoutDraining drops one recorder that drains, where the other one has the bucket and a process
 // can take its place.
 func (d *Decider) withoutDraining(alive []assign.ProcessID, copying bool, from []Process) []assign.ProcessID {
