--- /dev/null
+++ b/internal/conf/fuzz_test.go
@@ -0,0 +1,202 @@
+package conf
+
+import (
+	"net/netip"
+	"os"
+	"path"
+	"path/filepath"
+	"strings"
+	"testing"
+	"unicode"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/samphiredrum/samphiredrum/pkg/assign"
+)
+
+// seed adds the settings texts of the data files and the examples to a corpus.
+func seed(f *testing.F, cases, examples string) {
+	text, err := os.ReadFile(cases)
+	if err != nil {
+		f.Fatal(err)
+	}
+	for block := range strings.SplitSeq(string(text), "\n\n") {
+		_, input, found := strings.Cut(block, "\n[")
+		if found {
+			input, _, _ = strings.Cut("["+input, "\n----")
+			f.Add(input)
+		}
+	}
+	files, _ := filepath.Glob(examples)
+	for _, name := range files {
+		if text, err := os.ReadFile(name); err == nil {
+			f.Add(string(text))
+		}
+	}
+	f.Add("\uFEFF[a]\nb = \\\n\nc = d")
+	f.Add("[a] # ]\n'b' = 'c'\n")
+}
+
+// FuzzParseProcess guards against a panic, a fault that points nowhere, and an accepted file that
+// breaks a rule.
+func FuzzParseProcess(f *testing.F) {
+	seed(f, "testdata/cases/process", "../../examples/*/entry-1.ini")
+	f.Fuzz(func(t *testing.T, text string) {
+		checkScan(t, text)
+		p, faults := ParseProcess("f", text)
+		checkFaults(t, text, faults)
+		if len(faults) == 0 {
+			checkProcess(t, p)
+		}
+	})
+}
+
+// FuzzParseTeam guards against the same failures as FuzzParseProcess.
+func FuzzParseTeam(f *testing.F) {
+	seed(f, "testdata/cases/team", "../../examples/*/team-*.ini")
+	f.Fuzz(func(t *testing.T, text string) {
+		checkScan(t, text)
+		team, faults := ParseTeam("yards", "f", text)
+		checkFaults(t, text, faults)
+		if len(faults) == 0 {
+			checkTeam(t, team)
+		}
+		Check([]Text{{Name: "f", Content: text}, {Name: "f", Content: text}})
+	})
+}
+
+// checkScan guards against a scan that finds other sections or keys than ini.v1: a setting would
+// be read as empty, or reported at the wrong line.
+func checkScan(t *testing.T, text string) {
+	doc, ok := readDocument(&report{}, text)
+	if !ok {
+		return
+	}
+	file, err := ini.LoadSources(options, []byte(strings.TrimPrefix(text, byteOrderMark)))
+	if err != nil {
+		t.Fatalf("ini.v1 refuses what readDocument accepts: %v", err)
+	}
+	sections := file.Sections()
+	if len(sections) != len(doc.sections) {
+		t.Fatalf("the scan found %d sections, ini.v1 %d", len(doc.sections), len(sections))
+	}
+	for i, s := range doc.sections {
+		checkKeys(t, s, sections[i])
+	}
+}
+
+func checkKeys(t *testing.T, s section, parsed *ini.Section) {
+	if s.name != parsed.Name() {
+		t.Fatalf("the scan found section %q, ini.v1 %q", s.name, parsed.Name())
+	}
+	total := 0
+	for _, k := range parsed.Keys() {
+		total += len(k.ValueWithShadows())
+	}
+	if total != len(s.keys) {
+		t.Fatalf("the scan found %d keys in %q, ini.v1 %d", len(s.keys), s.name, total)
+	}
+	for _, e := range s.keys {
+		if !parsed.HasKey(e.name) {
+			t.Fatalf("the scan found key %q in %q, ini.v1 did not", e.name, s.name)
+		}
+	}
+}
+
+func checkFaults(t *testing.T, text string, faults []Fault) {
+	if len(faults) > MaxFaults+1 {
+		t.Fatalf("%d faults", len(faults))
+	}
+	lines := strings.Count(text, "\n") + 1
+	for _, f := range faults {
+		if f.File != "f" || f.Line < 0 || f.Line > lines || f.Problem == "" || f.Remedy == "" {
+			t.Fatalf("a fault that points nowhere: %#v", f)
+		}
+		if strings.ContainsFunc(f.String(), unicode.IsControl) {
+			t.Fatalf("a fault with control characters: %q", f)
+		}
+	}
+}
+
+func checkProcess(t *testing.T, p Process) {
+	if len(p.Others()) != len(p.Peers)-1 || p.Name == "" || !p.PeerAddress.IsValid() {
+		t.Fatalf("a process without its own peer line: %+v", p)
+	}
+	m := p.Timing.Margin
+	term := m.Stretch(p.Timing.TermLease)
+	longest := max(m.Stretch(p.Timing.ServingLease), m.Stretch(p.Timing.Grant))
+	if term >= p.Timing.ServingLease || term >= p.Timing.Grant || term+longest >= maxRecovery {
+		t.Fatalf("unsafe timing: %+v", p.Timing)
+	}
+}
+
+func checkTeam(t *testing.T, team Team) {
+	ids := make(map[assign.ServerID]bool)
+	addresses := make(map[netip.AddrPort]bool)
+	for _, s := range team.Services {
+		if s.Exclusive && s.Key == nil {
+			t.Fatalf("exclusive without a key: %+v", s)
+		}
+		for _, v := range s.Servers {
+			if ids[v.ID] || addresses[v.Address] || v.Service != s.ID {
+				t.Fatalf("server %+v is there twice or in another service", v)
+			}
+			ids[v.ID], addresses[v.Address] = true, true
+		}
+		checkOperations(t, s)
+	}
+}
+
+func checkOperations(t *testing.T, s Service) {
+	if len(s.Operations) == 0 || len(s.Servers) == 0 {
+		t.Fatalf("a service without operations or servers: %+v", s)
+	}
+	for _, o := range s.Operations {
+		if o.Class == Booking && o.Repeatable {
+			t.Fatalf("a repeatable booking: %+v", o)
+		}
+		if found, ok := s.Match(o.Method, o.Prefix); !ok || found != o {
+			t.Fatalf("%+v does not match its own prefix but %+v", o, found)
+		}
+	}
+}
+
+// FuzzMatch guards against a path that is classified by one name and run by the server under
+// another.
+func FuzzMatch(f *testing.F) {
+	for _, p := range []string{"/", "/a/b", "/a/../b", "/a/%2e%2e/b", "//a", "/a%2Fb", "/control/x", "/%61", "/a/b/", ""} {
+		f.Add(p)
+	}
+	s := Service{Operations: []Operation{
+		{Name: "ab", Method: "GET", Prefix: "/a/b"},
+		{Name: "a", Method: "GET", Prefix: "/a"},
+		{Name: "all", Method: "GET", Prefix: "/"},
+	}}
+	f.Fuzz(func(t *testing.T, raw string) {
+		o, ok := s.Match("GET", raw)
+		if !ok {
+			return
+		}
+		decoded, _ := cleanPath(raw)
+		resolved := path.Clean(decoded)
+		if resolved != decoded && resolved+"/" != decoded {
+			t.Fatalf("%q resolves to %q", raw, resolved)
+		}
+		if want := expected(resolved); o.Name != want {
+			t.Fatalf("%q matched %s, not %s", raw, o.Name, want)
+		}
+	})
+}
+
+// expected classifies a resolved path by its segments.
+func expected(resolved string) string {
+	segments := strings.Split(resolved[1:], "/")
+	switch {
+	case segments[0] != "a":
+		return "all"
+	case len(segments) > 1 && segments[1] == "b":
+		return "ab"
+	default:
+		return "a"
+	}
+}
--- a/internal/conf/read.go
+++ b/internal/conf/read.go
@@ -158,10 +158,17 @@
 	return values[n]
 }
 
-// brief shortens text from a file for a message.
+// brief shortens text from a file for a message and replaces characters that would break its line
+// or change the operator's terminal.
 func brief(text string) string {
 	const limit = 60
-	runes := []rune(strings.TrimSpace(text))
+	text = strings.TrimSpace(text)
+	runes := []rune(text[:min(len(text), limit*utf8.UTFMax)])
+	for i, c := range runes {
+		if !unicode.IsPrint(c) {
+			runes[i] = unicode.ReplacementChar
+		}
+	}
 	if len(runes) <= limit {
 		return string(runes)
 	}
--- /dev/null
+++ b/internal/conf/services.go
@@ -0,0 +1,219 @@
+package conf
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/samphiredrum/samphiredrum/pkg/assign"
+)
+
+// reservedTeams are names that have another meaning as the first segment of a path.
+var reservedTeams = append([]string{"booking-ids"}, reserved...)
+
+// teamBuilder collects the sections of one team file.
+type teamBuilder struct {
+	report   *report
+	team     string
+	contact  string
+	seen     map[string]section
+	services map[string]*serviceDraft
+	// names and addresses are the servers seen so far.
+	names     map[assign.ServerID]assign.ServiceID
+	addresses map[netip.AddrPort]assign.ServerID
+}
+
+// serviceDraft is a service with the sections it is read from.
+type serviceDraft struct {
+	service Service
+	values  values
+	// declared reports whether the service's own section was there.
+	declared bool
+	line     int
+	// matches has the line of each route.
+	matches map[route]int
+}
+
+func buildTeam(r *report, team string, doc document) Team {
+	b := &teamBuilder{
+		report:    r,
+		team:      team,
+		seen:      make(map[string]section),
+		services:  make(map[string]*serviceDraft),
+		names:     make(map[assign.ServerID]assign.ServiceID),
+		addresses: make(map[netip.AddrPort]assign.ServerID),
+	}
+	if !isName(team) || slices.Contains(reservedTeams, team) {
+		r.add(0, fmt.Sprintf("%q cannot be the name of a team", brief(team)),
+			nameRemedy+", and none of "+strings.Join(reservedTeams, ", "))
+		return Team{}
+	}
+	for i, s := range doc.sections {
+		if i == 0 {
+			reportLoose(r, s)
+			continue
+		}
+		b.add(s)
+	}
+	return b.finish()
+}
+
+// add reads one section.
+func (b *teamBuilder) add(s section) {
+	if first, twice := b.seen[s.name]; twice {
+		reportTwice(b.report, s, first)
+		return
+	}
+	b.seen[s.name] = s
+	parts, pattern, ok := splitSection(s.name)
+	if !ok {
+		b.report.add(s.line, fmt.Sprintf("there is no section [%s] in a team-file", brief(s.name)),
+			fmt.Sprintf("the nearest known section is [%s]", brief(nearestSection(s.name, b.team))))
+		return
+	}
+	if parts.team != b.team {
+		b.report.add(s.line, fmt.Sprintf("section [%s] is in the subtree of another team", brief(s.name)),
+			fmt.Sprintf("move it to the file of team %s, or start it with team.%s", brief(parts.team), b.team))
+		return
+	}
+	if name, bad := parts.badName(); bad {
+		b.report.add(s.line, fmt.Sprintf("%q is no name", brief(name)), nameRemedy)
+		return
+	}
+	b.addKnown(s, parts, pattern)
+}
+
+func (b *teamBuilder) addKnown(s section, parts sectionParts, pattern string) {
+	v := readSection(b.report, s, pattern)
+	switch pattern {
+	case teamSection:
+		b.contact = v.text("contact")
+	case serviceSection:
+		b.addService(b.draft(parts.service, s.line), v)
+	case operationSection:
+		b.addOperation(b.draft(parts.service, s.line), parts.operation, v)
+	}
+}
+
+// draft returns the draft of a service, which its operations may precede.
+func (b *teamBuilder) draft(name string, line int) *serviceDraft {
+	d, ok := b.services[name]
+	if !ok {
+		d = &serviceDraft{line: line, matches: make(map[route]int)}
+		d.service.ID = assign.ServiceID(b.team + "/" + name)
+		b.services[name] = d
+	}
+	return d
+}
+
+func (b *teamBuilder) addService(d *serviceDraft, v values) {
+	d.declared, d.values, d.line = true, v, v.section.line
+	s := &d.service
+	s.Exclusive = v.flag("exclusive")
+	s.Key, _ = v.parsed["key"].(KeySource)
+	s.Fencing, _ = assign.FencingString(v.text("fencing"))
+	s.Slots = v.number("slots")
+	s.Connections = v.number("connections")
+	s.ChurnBudget = v.share("churn-budget")
+	s.Servers, _ = v.parsed["servers"].([]assign.Server)
+	b.checkKey(d)
+	b.checkServers(d)
+	slices.SortFunc(s.Servers, func(a, b assign.Server) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+func (b *teamBuilder) checkKey(d *serviceDraft) {
+	if _, named := d.values.lines["key"]; d.service.Exclusive && !named {
+		b.report.add(d.values.line("exclusive"), fmt.Sprintf("service %s is exclusive but names no key", d.service.ID),
+			"add a line such as: key = header:NAME")
+	}
+}
+
+func (b *teamBuilder) checkServers(d *serviceDraft) {
+	line := d.values.line("servers")
+	for i := range d.service.Servers {
+		s := &d.service.Servers[i]
+		s.Service, s.Fencing = d.service.ID, d.service.Fencing
+		if other, twice := b.names[s.ID]; twice {
+			b.report.add(line, fmt.Sprintf("the server name %s is used twice, first in service %s", s.ID, other),
+				"give each server of the team its own name")
+		} else {
+			b.names[s.ID] = d.service.ID
+		}
+		if other, twice := b.addresses[s.Address]; twice {
+			b.report.add(line, fmt.Sprintf("server %s has the address %s of server %s", s.ID, s.Address, other),
+				"give each server of the team its own address")
+		} else {
+			b.addresses[s.Address] = s.ID
+		}
+	}
+}
+
+func (b *teamBuilder) addOperation(d *serviceDraft, name string, v values) {
+	o := Operation{Name: name, Repeatable: v.flag("repeatable"), Timeout: v.duration("timeout")}
+	o.Class, _ = ClassString(v.text("class"))
+	match, ok := v.parsed["match"].(route)
+	o.Method, o.Prefix = match.method, match.prefix
+	b.checkBooking(o, v)
+	if first, twice := d.matches[match]; ok && twice {
+		b.report.add(v.line("match"), fmt.Sprintf("%s %s is matched twice, first in line %d", o.Method, o.Prefix, first),
+			"remove one of the operations or change its match")
+	} else if ok {
+		d.matches[match] = v.line("match")
+	}
+	d.service.Operations = append(d.service.Operations, o)
+}
+
+// checkBooking reports bookings that a repeat could run twice.
+func (b *teamBuilder) checkBooking(o Operation, v values) {
+	if o.Class != Booking || !v.whole {
+		return
+	}
+	if o.Repeatable {
+		b.report.add(v.line("repeatable"), fmt.Sprintf("operation %s is a booking and marked repeatable", o.Name),
+			"remove the line, or set another class if the operation may run twice")
+	}
+	if o.Method == http.MethodGet || o.Method == http.MethodHead {
+		b.report.add(v.line("match"), fmt.Sprintf("operation %s is a booking by %s, which HTTP clients repeat", o.Name, o.Method),
+			"match a booking by POST")
+	}
+}
+
+// finish checks what concerns several sections and returns the team.
+func (b *teamBuilder) finish() Team {
+	t := Team{Name: b.team, Contact: b.contact}
+	if len(b.services) == 0 && b.report.clean() {
+		b.report.add(0, fmt.Sprintf("team %s has no services", b.team),
+			fmt.Sprintf("add a section [team.%s.service.NAME]", b.team))
+	}
+	for _, name := range slices.Sorted(maps.Keys(b.services)) {
+		d := b.services[name]
+		b.checkDraft(name, d)
+		slices.SortFunc(d.service.Operations, compareOperations)
+		t.Services = append(t.Services, d.service)
+	}
+	return t
+}
+
+func (b *teamBuilder) checkDraft(name string, d *serviceDraft) {
+	if !d.declared {
+		b.report.add(d.line, fmt.Sprintf("service %s has operations but no section", d.service.ID),
+			fmt.Sprintf("add a section [team.%s.service.%s]", b.team, name))
+	}
+	if len(d.service.Operations) == 0 {
+		b.report.add(d.line, fmt.Sprintf("service %s has no operations, so no call matches", d.service.ID),
+			fmt.Sprintf("add a section [team.%s.service.%s.operation.NAME]", b.team, name))
+	}
+}
+
+// compareOperations sorts the longest prefix first, so that the first match is the longest.
+func compareOperations(a, b Operation) int {
+	return cmp.Or(
+		cmp.Compare(len(b.Prefix), len(a.Prefix)),
+		cmp.Compare(a.Prefix, b.Prefix),
+		cmp.Compare(a.Method, b.Method),
+	)
+}
