--- a/internal/conf/services.go
+++ b/internal/conf/services.go
@@ -15,6 +15,10 @@
 // reservedTeams are names that have another meaning as the first segment of a path.
 var reservedTeams = append([]string{"booking-ids"}, reserved...)
 
+// repeatedMethods are methods that HTTP clients, fasthttp's among them, repeat on their own when a
+// connection breaks.
+var repeatedMethods = []string{http.MethodGet, http.MethodHead, http.MethodPut}
+
 // teamBuilder collects the sections of one team file.
 type teamBuilder struct {
 	report   *report
@@ -176,7 +180,7 @@
 		b.report.add(v.line("repeatable"), fmt.Sprintf("operation %s is a booking and marked repeatable", o.Name),
 			"remove the line, or set another class if the operation may run twice")
 	}
-	if o.Method == http.MethodGet || o.Method == http.MethodHead {
+	if slices.Contains(repeatedMethods, o.Method) {
 		b.report.add(v.line("match"), fmt.Sprintf("operation %s is a booking by %s, which HTTP clients repeat", o.Name, o.Method),
 			"match a booking by POST")
 	}
--- a/pkg/event/plot.go
+++ b/pkg/event/plot.go
@@ -19,6 +19,8 @@
 	// legendHeight is the space that one kind takes in the legend.
 	legendHeight = 0.5 * vg.Centimeter
 	glyphRadius  = 0.1 * vg.Centimeter
+	// minWidth is the shortest horizontal axis in steps of logical time.
+	minWidth = 10
 )
 
 // PlotOption changes how Plot draws.
@@ -66,6 +68,7 @@
 	p := plot.New()
 	p.Title.Text = d.title
 	p.X.Label.Text = "logical time"
+	p.Y.Label.Text = "process"
 	p.Legend.Top = true
 	p.Legend.Left = false
 	if len(rows) == 0 {
@@ -87,7 +90,7 @@
 // event would otherwise give an axis of no length.
 func widen(p *plot.Plot, rows int) {
 	p.Y.Min, p.Y.Max = -0.5, float64(rows)-0.5
-	width := max(p.X.Max-p.X.Min, 1)
+	width := max(p.X.Max-p.X.Min, minWidth)
 	p.X.Min -= width / 50
 	p.X.Max += width / 4
 }
@@ -117,7 +120,7 @@
 	return xys
 }
 
-// processes returns the processes of the events in order.
+// processes returns the processes of the events in order, the first one for the lowest row.
 func processes(events []Event) []assign.ProcessID {
 	var names []assign.ProcessID
 	for _, e := range events {
