Serve calls end to end with entry processes, stand-ins and a demo

The demo kills an entry process, an owner and the decider, drains a server, and checks the recorded history against the promises.

--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -49,13 +49,15 @@
 	namespace = errorx.NewNamespace("command")
 	// Usage is the kind of error of a wrong command line.
 	Usage = namespace.NewType("usage")
+	// Broken is the kind of error of a promise that did not hold.
+	Broken = namespace.NewType("broken")
 	// Settings is the kind of error of wrong settings.
 	Settings = namespace.NewType("settings")
 )
 
 // commands returns the commands of the program.
 func commands() []*cobra.Command {
-	return []*cobra.Command{checkCommand(), versionCommand()}
+	return []*cobra.Command{checkCommand(), demoCommand(), serveCommand(), versionCommand()}
 }
 
 // Execute runs the command that args name, without the program's own name, and returns the exit
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -73,11 +73,11 @@
 	// Attempt counts the times the call was sent to a server.
 	Attempt int
 
-	Method string
-	Path   string
-	Query  string
+	Method  string
+	Path    string
+	Query   string
 	Headers []back.Header
-	Body   []byte
+	Body    []byte
 
 	Service   *conf.Service
 	Operation conf.Operation
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -25,6 +25,7 @@
 // Header names towards callers.
 const (
 	headerIdempotencyKey = "Idempotency-Key"
+	headerRequestID      = "Request-Id"
 	headerTimeout        = "Timeout-Ms"
 	headerOutcome        = "Outcome"
 	headerRetryAfter     = "Retry-After-Ms"
@@ -37,6 +38,13 @@
 	pathBookingIDs = "/booking-ids"
 )
 
+const (
+	// maxRequestID bounds the part of a request identifier that the caller chooses.
+	maxRequestID = 64
+	// requestIDSeparator stands between the caller's part and the random one.
+	requestIDSeparator = "~"
+)
+
 // maxTimeout bounds the time that a caller may ask for.
 const maxTimeout = 10 * time.Minute
 
@@ -145,7 +153,7 @@
 	now, latest := h.router.config.Clock.Now(), h.router.config.Clock.Latest()
 	request := c.Request()
 	call := &Call{
-		ID:     identifier(),
+		ID:     identifier(c.Get(headerRequestID)),
 		Method: strings.Clone(c.Method()),
 		Query:  string(request.URI().QueryString()),
 		Body:   append([]byte(nil), request.Body()...),
@@ -242,12 +250,22 @@
 	return min(call.Operation.Timeout, time.Duration(n)*time.Millisecond), Result{}
 }
 
-// identifier returns a random identifier for a call.
-func identifier() string {
+// identifier returns an identifier for a call: the caller's own, for tracing, made unique by a
+// random part, so that callers with equal identifiers do not get each other's answers.
+func identifier(own string) string {
 	var random [12]byte
 	// Read never fails on Linux, see crypto/rand.
 	_, _ = rand.Read(random[:])
-	return hex.EncodeToString(random[:])
+	unique := hex.EncodeToString(random[:])
+	if own == "" || len(own) > maxRequestID || strings.ContainsFunc(own, notToken) {
+		return unique
+	}
+	return own + requestIDSeparator + unique
+}
+
+// notToken reports whether a character may not be part of a caller's request identifier.
+func notToken(c rune) bool {
+	return !(c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_')
 }
 
 // refusalBody is the body of answers to calls that did not run.
--- /dev/null
+++ b/internal/logs/logs.go
@@ -0,0 +1,41 @@
+// Package logs makes the loggers of the programs.
+//
+// # Usage
+//
+//	log := logs.New(os.Stderr)
+//	log.Info().Str("server", "ledger-1").Msg("drained")
+//	// time=... level=info event=drained server=ledger-1
+package logs
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// New returns a logger that writes each event to w as one line of key=value pairs.
+func New(w io.Writer) zerolog.Logger {
+	return zerolog.New(zerolog.ConsoleWriter{
+		Out:             w,
+		NoColor:         true,
+		TimeFormat:      time.RFC3339Nano,
+		FormatTimestamp: func(v any) string { return pair("time", v) },
+		FormatLevel:     func(v any) string { return pair("level", v) },
+		FormatMessage:   func(v any) string { return pair("event", v) },
+	}).With().Timestamp().Logger()
+}
+
+// pair returns "key=value", quoted where the value has spaces or quotes.
+func pair(key string, value any) string {
+	text := fmt.Sprint(value)
+	if value == nil {
+		text = "-"
+	}
+	if strings.ContainsAny(text, " \"=") {
+		return fmt.Sprintf("%s=%q", key, text)
+	}
+	return key + "=" + text
+}
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -155,3 +155,8 @@
 	c.leading = nil
 	c.decider.Step(c.node.clock.Now(), owner.Stopped{})
 }
+
+// release gives up the term and every claim on one, so that another process need not wait.
+func (c *control) release() {
+	c.elect(elect.Release{})
+}
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/samphiredrum/samphiredrum/pkg/assign"
+	"github.com/samphiredrum/samphiredrum/pkg/lease"
+)
+
+// statusInterval is the time between two snapshots of the control state.
+const statusInterval = 100 * time.Millisecond
+
+// Status is a snapshot of a process's control state.
+type Status struct {
+	Process assign.ProcessID `json:"process"`
+	// Decider is the process whose heartbeat was last accepted.
+	Decider  assign.ProcessID  `json:"decider"`
+	Term     uint64            `json:"term"`
+	Leading  bool              `json:"leading"`
+	Serving  bool              `json:"serving"`
+	Draining bool              `json:"draining"`
+	Version  uint64            `json:"table-version"`
+	Teams    map[string]uint64 `json:"teams"`
+	Owners   []Owner           `json:"owners"`
+	Servers  []ServerStatus    `json:"servers"`
+	// Identifiers is the number of booking identifiers remembered here.
+	Identifiers int `json:"identifiers"`
+
+	takenAt time.Time
+}
+
+// Owner is the ownership of one span.
+type Owner struct {
+	Service assign.ServiceID `json:"service"`
+	From    uint64           `json:"from"`
+	To      uint64           `json:"to"`
+	Server  assign.ServerID  `json:"server"`
+	Fence   lease.Fence      `json:"fence"`
+	Open    bool             `json:"open"`
+}
+
+// ServerStatus is how this process uses a server.
+type ServerStatus struct {
+	Server   assign.ServerID `json:"server"`
+	Leaving  bool            `json:"leaving"`
+	InFlight int             `json:"in-flight"`
+	Queued   int             `json:"queued"`
+	Allowed  int             `json:"allowed"`
+}
+
+// publishStatus takes a snapshot where the last one is old.
+func (c *control) publishStatus() {
+	now := c.node.clock.Now()
+	if now.Sub(c.node.Status().takenAt) < statusInterval {
+		return
+	}
+	s := &Status{
+		Process:     c.node.settings.Name,
+		Decider:     c.machine.Decider(),
+		Term:        c.machine.Term(),
+		Leading:     c.leading != nil,
+		Serving:     c.node.router.Serves(),
+		Draining:    c.draining,
+		Version:     c.follower.Version(),
+		Teams:       c.teams.versions(),
+		Identifiers: c.node.recorder.size(),
+		takenAt:     now,
+	}
+	if t := c.follower.Table(); t != nil {
+		s.Owners = owners(t)
+	}
+	for id, m := range c.servers.members {
+		load := m.Gate.Load()
+		s.Servers = append(s.Servers, ServerStatus{
+			Server: id, Leaving: c.servers.leaving[id], InFlight: load.InFlight, Queued: load.Queued, Allowed: load.Allowed,
+		})
+	}
+	sortServers(s.Servers)
+	c.node.status.Store(s)
+}
+
+func owners(t *assign.Table) []Owner {
+	var list []Owner
+	for _, id := range sortedServices(t) {
+		for _, h := range t.Services[id] {
+			list = append(list, Owner{
+				Service: id, From: h.Span.From, To: h.Span.To, Server: h.Owner(), Fence: h.Fence(), Open: h.Open,
+			})
+		}
+	}
+	return list
+}
+
+func sortedServices(t *assign.Table) []assign.ServiceID {
+	return slices.Sorted(maps.Keys(t.Services))
+}
+
+func sortServers(list []ServerStatus) {
+	slices.SortFunc(list, func(a, b ServerStatus) int { return cmp.Compare(a.Server, b.Server) })
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -101,4 +101,3 @@
 	}
 	return *answer, nil
 }
-
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -290,5 +290,15 @@
 // Refused reports whether an error of a Link proves that the peer's process has ended: its address
 // refused a connection.
 func Refused(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED)
+	for err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return true
+		}
+		e := errorx.Cast(err)
+		if e == nil {
+			return false
+		}
+		err = e.Cause()
+	}
+	return false
 }
