Report servers that refuse connections to the decider

A killed owner's keys were without an owner for 2.9 s in the demo: the proof that its process had ended lacked the incarnation and was ignored, so the gate waited for the grant to lapse, and only the decider's own probe looked, once a second. Followers now report refused connections with their heartbeats and probes carry the incarnation.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -8,8 +8,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"net/netip"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -97,8 +99,11 @@
 	request.Header.Set("Timeout-Ms", strconv.FormatInt(max(1, call.Timeout.Milliseconds()), 10))
 	// The entry process answers by the timeout; the rest is for the way back.
 	err := c.http.DoTimeout(request, response, call.Timeout+time.Second)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return Answer{Outcome: NotRun, Reason: "connection refused"}, err
+	}
 	if err != nil {
-		return Answer{Outcome: Unknown}, err
+		return Answer{Outcome: Unknown, Reason: err.Error()}, err
 	}
 	return read(response), nil
 }
--- a/internal/cmds/demo.go
+++ b/internal/cmds/demo.go
@@ -4,11 +4,13 @@
 	"github.com/spf13/cobra"
 
 	"github.com/samphiredrum/samphiredrum/internal/demo"
+	"github.com/samphiredrum/samphiredrum/internal/logs"
 )
 
 // demoCommand runs a whole user on loopback and checks the promises.
 func demoCommand() *cobra.Command {
 	options := demo.Options{}
+	verbose := false
 	c := &cobra.Command{
 		Use:   "demo",
 		Short: "Run a whole user on loopback, with failures, and check the promises",
@@ -19,6 +21,9 @@
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			options.Out = c.OutOrStdout()
+			if verbose {
+				options.Log = logs.New(c.ErrOrStderr())
+			}
 			summary, err := demo.Run(c.Context(), options)
 			if err != nil {
 				return err
@@ -32,5 +37,6 @@
 	c.Flags().StringVar(&options.User, "user", "khangai", "deployment to run: khangai or bakugaisma")
 	c.Flags().Uint64Var(&options.Seed, "seed", 1, "seed of the calls")
 	c.Flags().IntVar(&options.Callers, "callers", 24, "number of concurrent callers")
+	c.Flags().BoolVar(&verbose, "verbose", false, "write the events of the entry processes to standard error")
 	return c
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -143,8 +143,14 @@
 // killOwner ends a server that owns keys, and waits until each of its keys is served by another.
 func (r *run) killOwner() {
 	id := r.fleet.Owners()[0]
+	spans := r.fleet.Spans(id)
 	r.fleet.Backend(id).Kill()
-	r.print("event=killed server=%s served-again-after=%s", id, rounded(r.awaitMoved(id)))
+	started := time.Now()
+	for len(spans) > 0 && time.Since(started) < 2*recoveryTime {
+		time.Sleep(pollInterval)
+		r.fleet.DropServed(spans, id)
+	}
+	r.print("event=killed server=%s spans-left=%d served-again-after=%s", id, len(spans), rounded(time.Since(started)))
 }
 
 func (r *run) killDecider() {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -162,7 +162,7 @@
 func (f *Fleet) ready() bool {
 	for _, n := range f.nodes {
 		s := n.Status()
-		if !s.Serving || len(s.Owners) == 0 {
+		if !s.Serving || !s.Recording || len(s.Owners) == 0 {
 			return false
 		}
 		for _, o := range s.Owners {
@@ -257,6 +257,35 @@
 	return slices.Sorted(maps.Keys(seen))
 }
 
+// Spans returns the first hashes of the spans of a server by service, as one of the processes sees
+// them.
+func (f *Fleet) Spans(id assign.ServerID) map[SpanName]bool {
+	spans := make(map[SpanName]bool)
+	for _, o := range f.nodes[f.Names()[0]].Status().Owners {
+		if o.Server == id {
+			spans[SpanName{o.Service, o.From}] = true
+		}
+	}
+	return spans
+}
+
+// SpanName names a span by its service and first hash.
+type SpanName struct {
+	Service assign.ServiceID
+	From    uint64
+}
+
+// DropServed removes the spans that some process sees open at a server other than id.
+func (f *Fleet) DropServed(spans map[SpanName]bool, id assign.ServerID) {
+	for _, name := range f.Names() {
+		for _, o := range f.nodes[name].Status().Owners {
+			if o.Server != id && o.Open {
+				delete(spans, SpanName{o.Service, o.From})
+			}
+		}
+	}
+}
+
 // Moved reports whether no process sends keys to the server any more and every key is open.
 func (f *Fleet) Moved(id assign.ServerID) bool {
 	for _, name := range f.Names() {
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -21,11 +21,21 @@
 	return zerolog.New(zerolog.ConsoleWriter{
 		Out:             w,
 		NoColor:         true,
-		TimeFormat:      time.RFC3339Nano,
 		FormatTimestamp: func(v any) string { return pair("time", v) },
 		FormatLevel:     func(v any) string { return pair("level", v) },
 		FormatMessage:   func(v any) string { return pair("event", v) },
-	}).With().Timestamp().Logger()
+	}).Hook(stamp{})
+}
+
+// timeFormat shows microseconds: control events follow each other within milliseconds.
+const timeFormat = "2006-01-02T15:04:05.000000Z07:00"
+
+// stamp adds the time to each event.
+type stamp struct{}
+
+// Run implements zerolog.Hook.
+func (stamp) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Str(zerolog.TimestampFieldName, time.Now().Format(timeFormat))
 }
 
 // pair returns "key=value", quoted where the value has spaces or quotes.
--- a/internal/node/beat.go
+++ b/internal/node/beat.go
@@ -87,6 +87,7 @@
 		Versions: c.teams.versions(),
 		Load:     c.takeLoad(),
 		Copied:   c.node.recorder.copied(),
+		Suspects: c.takeSuspects(),
 		Draining: c.draining,
 	}
 	if answer != nil {
@@ -187,6 +188,9 @@
 		l.draining[from] = answer.Draining
 		c.decide(owner.DrainProcess{Process: from, Cancel: !answer.Draining})
 	}
+	for _, id := range answer.Suspects {
+		c.suspected(serverSuspected{server: id})
+	}
 	for _, b := range answer.Copied {
 		c.decide(owner.BucketCopied{Process: from, Bucket: b.Bucket, Generation: b.Generation})
 	}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/samphiredrum/samphiredrum/internal/peer"
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 	"github.com/samphiredrum/samphiredrum/pkg/elect"
@@ -42,6 +44,8 @@
 	inFlight map[assign.ServerID]int
 	loadedAt time.Time
 	beatAt   time.Time
+	// suspects are the servers that refused a connection since the last heartbeat.
+	suspects map[assign.ServerID]bool
 	draining bool
 	drained  chan struct{}
 	serving  bool
@@ -69,6 +73,7 @@
 		peers:    make(map[assign.ProcessID]*courier),
 		claims:   make(map[assign.ProcessID]*assign.Table),
 		states:   make(map[assign.ProcessID]peer.StateAnswer),
+		suspects: make(map[assign.ServerID]bool),
 		loadedAt: n.clock.Now(),
 	}
 	c.machine = elect.New(elect.Config{
@@ -228,7 +233,12 @@
 // note adds a control event to the ring and the log.
 func (c *control) note(e event.Event) {
 	e = c.node.ring.Add(e)
-	c.node.log.Info().Str("kind", e.Kind.String()).Uint64("logical", e.Logical).
+	level := zerolog.InfoLevel
+	if e.Kind == event.Open || e.Kind == event.Close {
+		// A table that moves many spans would write as many lines in each process.
+		level = zerolog.DebugLevel
+	}
+	c.node.log.WithLevel(level).Str("kind", e.Kind.String()).Uint64("logical", e.Logical).
 		Str("service", string(e.Service)).Str("server", string(e.Server)).
 		Uint64("version", e.Version).Uint64("fence", uint64(e.Fence)).Str("detail", e.Detail).Msg("control")
 }
--- a/internal/node/decide.go
+++ b/internal/node/decide.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/samphiredrum/samphiredrum/internal/back"
@@ -60,7 +62,7 @@
 		}
 	case owner.ProbeServer:
 		if s := c.servers.get(a.Server); s != nil {
-			n.group.Go((&probeTask{node: n, server: s, askedAt: n.clock.Now()}).run)
+			n.group.Go((&probeTask{node: n, server: s, incarnation: a.Incarnation, askedAt: n.clock.Now()}).run)
 		}
 	case owner.WriteRecord:
 		n.group.Go((&writeTask{node: n, action: a}).run)
@@ -157,16 +159,19 @@
 
 // probeTask finds out whether a server lives.
 type probeTask struct {
-	node    *Node
-	server  *entry.Server
-	askedAt time.Time
+	node   *Node
+	server *entry.Server
+	// incarnation is the run of the server that is looked for. A probe that was sent when this run
+	// was known, and that finds no process, proves that this run has ended.
+	incarnation string
+	askedAt     time.Time
 }
 
 func (t *probeTask) run() {
 	ctx, cancel := context.WithTimeout(t.node.ctx, serverTime)
 	defer cancel()
 	probe := t.server.Client.Probe(ctx)
-	t.node.post(serverProbed{server: t.server.ID, askedAt: t.askedAt, probe: probe})
+	t.node.post(serverProbed{server: t.server.ID, incarnation: t.incarnation, askedAt: t.askedAt, probe: probe})
 }
 
 func (c *control) serverProbed(m serverProbed) {
@@ -186,18 +191,28 @@
 		})
 	case back.Ended:
 		s.Ended()
-		c.decide(owner.ServerEnded{Server: m.server})
+		c.decide(owner.ServerEnded{Server: m.server, Incarnation: m.incarnation})
 	case back.Silent:
 	}
 }
 
-// suspected probes a server at once that refused a connection.
+// suspected tells the decider about a server that refused a connection, which probes it at once.
+// Waiting for the silence of the server would leave its keys without an owner for longer.
 func (c *control) suspected(m serverSuspected) {
-	s := c.servers.get(m.server)
-	if s == nil || c.leading == nil {
+	if c.leading == nil {
+		c.suspects[m.server] = true
 		return
 	}
-	c.node.group.Go((&probeTask{node: c.node, server: s, askedAt: c.node.clock.Now()}).run)
+	if s := c.servers.get(m.server); s != nil {
+		c.node.group.Go((&probeTask{node: c.node, server: s, incarnation: s.Incarnation(), askedAt: c.node.clock.Now()}).run)
+	}
+}
+
+// takeSuspects returns the servers that refused a connection since the last heartbeat.
+func (c *control) takeSuspects() []assign.ServerID {
+	suspects := slices.Sorted(maps.Keys(c.suspects))
+	clear(c.suspects)
+	return suspects
 }
 
 func (n *Node) recordName() string {
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -62,9 +62,10 @@
 
 // serverProbed is what a probe for the decider found.
 type serverProbed struct {
-	server  assign.ServerID
-	askedAt time.Time
-	probe   back.Probe
+	server      assign.ServerID
+	incarnation string
+	askedAt     time.Time
+	probe       back.Probe
 }
 
 // grantAnswered is a server's answer to a grant.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -11,7 +11,7 @@
 )
 
 // statusInterval is the time between two snapshots of the control state.
-const statusInterval = 100 * time.Millisecond
+const statusInterval = 50 * time.Millisecond
 
 // Status is a snapshot of a process's control state.
 type Status struct {
@@ -26,6 +26,8 @@
 	Teams    map[string]uint64 `json:"teams"`
 	Owners   []Owner           `json:"owners"`
 	Servers  []ServerStatus    `json:"servers"`
+	// Recording reports that recorders of bookings are known.
+	Recording bool `json:"recording"`
 	// Identifiers is the number of booking identifiers remembered here.
 	Identifiers int `json:"identifiers"`
 
@@ -66,6 +68,7 @@
 		Draining:    c.draining,
 		Version:     c.follower.Version(),
 		Teams:       c.teams.versions(),
+		Recording:   c.held != nil,
 		Identifiers: c.node.recorder.size(),
 		takenAt:     now,
 	}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -93,6 +93,8 @@
 	Load []SpanLoad
 	// Copied are the buckets with their generations that the receiver has copied as a recorder.
 	Copied []CopiedBucket
+	// Suspects are servers that refused a connection since the last answer.
+	Suspects []assign.ServerID
 	// Draining reports that the receiver is at a planned stop.
 	Draining bool
 	// Incarnation tells a restarted process from its predecessor.
