--- /dev/null
+++ b/pkg/elect/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package elect_test
+
+const raceEnabled = false
--- /dev/null
+++ b/pkg/elect/race_test.go
@@ -0,0 +1,7 @@
+//go:build race
+
+package elect_test
+
+// raceEnabled reduces the number of schedules, as the race detector makes them about ten times
+// slower.
+const raceEnabled = true
