Implement the booking recorder and the booking state machine

API changes: BookingEvent gains TableConfirmed, Reason gains ReasonIdentifier, Recorder gains Version. Without TableConfirmed a recorder that was replaced without knowing it could vouch that a booking had not run.

--- a/pkg/dedup/doc.go
+++ b/pkg/dedup/doc.go
@@ -34,7 +34,8 @@
 //
 // A Booking answers NotRun only when a recorder with unbroken memory confirmed that the identifier
 // was not in use. Where no recorder answers, an earlier attempt may have run the booking, so the
-// outcome is Unknown and the caller may repeat it with the same identifier only.
+// outcome is Unknown and the caller may repeat it with the same identifier only. Where some
+// recorders answer, TableConfirmed tells whether they were still the recorders.
 //
 // # Usage
 //
@@ -62,5 +63,6 @@
 //		}
 //	}
 //
-// Step is also called with Tick at least every 50 ms, and with TableChanged for each new table.
+// Step is also called with Tick at least every 50 ms, with TableChanged for each new table, and
+// with TableConfirmed for each heartbeat of the decider.
 package dedup
--- a/pkg/dedup/events.go
+++ b/pkg/dedup/events.go
@@ -43,8 +43,8 @@
 func (Tick) recorderEvent()          {}
 func (SendAsk) recorderAction()      {}
 
-// BookingEvent is an event of a Booking: Begin, TableChanged, ReserveAnswered, ReserveFailed,
-// CallEnded, FinishAnswered, Abort or Tick.
+// BookingEvent is an event of a Booking: Begin, TableChanged, TableConfirmed, ReserveAnswered,
+// ReserveFailed, CallEnded, FinishAnswered, Abort or Tick.
 //
 //sumtype:decl
 type BookingEvent interface{ bookingEvent() }
@@ -62,6 +62,14 @@
 	View View
 }
 
+// TableConfirmed says that the table of the given version was still the decider's newest at At or
+// later. At is in this process's clock: the timestamp that the decider echoed in its heartbeat.
+// Without this event a Booking answers Unknown instead of NotRun when a recorder does not answer.
+type TableConfirmed struct {
+	Version uint64
+	At      time.Time
+}
+
 // ReserveAnswered is the answer of a recorder to SendReserve.
 type ReserveAnswered struct {
 	From     assign.ProcessID
@@ -124,6 +132,7 @@
 
 func (Begin) bookingEvent()           {}
 func (TableChanged) bookingEvent()    {}
+func (TableConfirmed) bookingEvent()  {}
 func (ReserveAnswered) bookingEvent() {}
 func (ReserveFailed) bookingEvent()   {}
 func (CallEnded) bookingEvent()       {}
--- /dev/null
+++ b/pkg/dedup/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package dedup_test
+
+const raceEnabled = false
--- a/pkg/dedup/reassign.go
+++ b/pkg/dedup/reassign.go
@@ -12,7 +12,8 @@
 }
 
 // Reassign returns b with the given members as recorders, for the table of the given version. The
-// generation rises. Where no member holds the bucket, the horizon rises to version.
+// generation rises. Where no member holds the bucket, the horizon rises to version, except for the
+// zero Bucket, which never had recorders: its horizon stays 0, and nothing was forgotten.
 func Reassign(b assign.Bucket, version uint64, members []Member) assign.Bucket {
 	n := assign.Bucket{Generation: b.Generation + 1, Horizon: b.Horizon, Start: b.Start}
 	kept := false
@@ -27,7 +28,9 @@
 		n.Joined = append(n.Joined, joined)
 	}
 	if !kept {
-		n.Horizon = version
+		if b.Generation > 0 {
+			n.Horizon = version
+		}
 		n.Start = n.Generation
 	}
 	return n
--- a/pkg/dedup/recorder.go
+++ b/pkg/dedup/recorder.go
@@ -4,6 +4,16 @@
 	"time"
 
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
+	"github.com/samphiredrum/samphiredrum/pkg/lease"
+)
+
+const (
+	defaultWindow     = 10 * time.Minute
+	defaultGrace      = 3 * time.Second
+	defaultEntries    = 8192
+	defaultBytes      = 4 << 20
+	defaultChunkBytes = 256 << 10
+	defaultAskWait    = 200 * time.Millisecond
 )
 
 // Config configures a Recorder. Zero values of durations and bounds mean the defaults.
@@ -11,7 +21,8 @@
 	// Self and Incarnation name this process. Incarnation differs after each restart.
 	Self        assign.ProcessID
 	Incarnation uint64
-	// Window is how long an identifier is kept after its last change; 10 min by default.
+	// Window is how long an identifier is kept after its last change; 10 min by default. It must be
+	// longer than HoldLimit and than any booking runs.
 	Window time.Duration
 	// Grace is added to Window after a rise of the horizon, because a process that has not seen
 	// the rise may still run bookings until its serving lease lapses; 3 s by default.
@@ -28,30 +39,156 @@
 	AskWait time.Duration
 }
 
+func (c Config) withDefaults() Config {
+	if c.Window <= 0 {
+		c.Window = defaultWindow
+	}
+	if c.Grace <= 0 {
+		c.Grace = defaultGrace
+	}
+	if c.Entries <= 0 {
+		c.Entries = defaultEntries
+	}
+	if c.Bytes <= 0 {
+		c.Bytes = defaultBytes
+	}
+	if c.ChunkBytes <= 0 {
+		c.ChunkBytes = defaultChunkBytes
+	}
+	if c.AskWait <= 0 {
+		c.AskWait = defaultAskWait
+	}
+	return c
+}
+
+// doubt is how long identifiers chosen by callers are refused after the memory of a bucket was
+// lost.
+func (c Config) doubt() time.Duration {
+	return lease.DefaultMargin.Stretch(c.Window) + c.Grace
+}
+
 // Recorder is the memory of one process for the buckets that list it.
 type Recorder struct {
-	config Config
+	config  Config
+	version uint64
+	// buckets has one element for each bucket of the table, nil where this process is not listed.
+	buckets []*bucket
+	// lost holds for each bucket the highest generation whose memory this process dropped. It
+	// must not start empty again in that generation or an earlier one.
+	lost map[int]uint64
 }
 
 // NewRecorder returns a Recorder without buckets.
-func NewRecorder(c Config) *Recorder { return &Recorder{config: c} }
+func NewRecorder(c Config) *Recorder {
+	return &Recorder{config: c.withDefaults(), lost: map[int]uint64{}}
+}
 
 // Step handles an event.
-func (r *Recorder) Step(now time.Time, e RecorderEvent) []RecorderAction { return nil }
+func (r *Recorder) Step(now time.Time, e RecorderEvent) []RecorderAction {
+	switch e := e.(type) {
+	case TableApplied:
+		r.apply(now, e)
+	case ChunkReceived:
+		r.receive(now, e.Chunk)
+	case Tick:
+		r.expire(now)
+	}
+	return r.asks(now)
+}
 
 // Reserve reserves an identifier for an attempt, or says why not. A repeat by the same attempt gets
 // the same answer.
-func (r *Recorder) Reserve(now time.Time, q Reserve) Reserved { return Reserved{Status: Stale} }
+func (r *Recorder) Reserve(now time.Time, q Reserve) Reserved {
+	a := Reserved{Status: Stale, Attempt: q.Attempt, Version: r.version}
+	b := r.bucket(q.Bucket)
+	if b == nil {
+		return a
+	}
+	a.Generation = b.spec.Generation
+	if !b.ready || q.Generation != b.spec.Generation || !q.Key.valid() {
+		return a
+	}
+	b.expire(now)
+	a.Status, a.Answer = b.reserve(now, q, r.version)
+	return a
+}
 
 // Finish records how an attempt ended. A repeat is harmless.
-func (r *Recorder) Finish(now time.Time, q Finish) Ended { return Ended{Status: Stale} }
+func (r *Recorder) Finish(now time.Time, q Finish) Ended {
+	a := Ended{Status: Stale, Attempt: q.Attempt, Version: r.version}
+	b := r.bucket(q.Bucket)
+	if b == nil {
+		return a
+	}
+	a.Generation = b.spec.Generation
+	if !b.ready || q.Generation != b.spec.Generation || !q.Key.valid() {
+		return a
+	}
+	b.expire(now)
+	b.finish(now, q)
+	a.Status = Accepted
+	return a
+}
 
 // Export returns a chunk of a bucket for another recorder that is new in the bucket's generation.
-func (r *Recorder) Export(now time.Time, q Ask) Chunk { return Chunk{Status: Stale} }
+func (r *Recorder) Export(now time.Time, q Ask) Chunk {
+	c := Chunk{
+		Status:      Stale,
+		Bucket:      q.Bucket,
+		Generation:  q.Generation,
+		From:        r.config.Self,
+		Incarnation: r.config.Incarnation,
+		After:       q.After,
+	}
+	b := r.bucket(q.Bucket)
+	if b == nil || !b.ready || q.Generation != b.spec.Generation {
+		return c
+	}
+	if _, ok := listed(b.spec, q.From, q.Incarnation); !ok {
+		return c
+	}
+	b.expire(now)
+	b.export(now, &c)
+	return c
+}
 
 // Ready returns the indices of the buckets that this Recorder answers for, in order. The decider
 // needs them to tell which recorders survive a change.
-func (r *Recorder) Ready() []int { return nil }
+func (r *Recorder) Ready() []int {
+	var ready []int
+	for i, b := range r.buckets {
+		if b != nil && b.ready {
+			ready = append(ready, i)
+		}
+	}
+	return ready
+}
+
+// Version returns the version of the table last applied.
+func (r *Recorder) Version() uint64 { return r.version }
 
 // Len returns the number of identifiers kept in all buckets.
-func (r *Recorder) Len() int { return 0 }
+func (r *Recorder) Len() int {
+	n := 0
+	for _, b := range r.buckets {
+		if b != nil {
+			n += len(b.entries)
+		}
+	}
+	return n
+}
+
+func (r *Recorder) bucket(i int) *bucket {
+	if i < 0 || i >= len(r.buckets) {
+		return nil
+	}
+	return r.buckets[i]
+}
+
+func (r *Recorder) expire(now time.Time) {
+	for _, b := range r.buckets {
+		if b != nil {
+			b.expire(now)
+		}
+	}
+}
--- a/pkg/dedup/types.go
+++ b/pkg/dedup/types.go
@@ -8,7 +8,7 @@
 
 //go:generate enumer -type=Status -transform=kebab -text -output=status_enumer.go
 //go:generate enumer -type=Outcome -transform=kebab -text -output=outcome_enumer.go
-//go:generate enumer -type=Reason -transform=kebab -text -output=reason_enumer.go
+//go:generate enumer -type=Reason -trimprefix=Reason -transform=kebab -text -output=reason_enumer.go
 
 // BodyLimit is the largest body in bytes that is kept with a finished booking.
 const BodyLimit = 4 << 10
@@ -149,6 +149,8 @@
 	ReasonRecorders
 	// ReasonDeadline is a reservation that was complete only after the deadline.
 	ReasonDeadline
+	// ReasonIdentifier is an identifier that is empty or too long.
+	ReasonIdentifier
 	// ReasonAborted is a Booking that its owner stopped before the call was sent.
 	ReasonAborted
 )
