--- a/internal/back/error.go
+++ b/internal/back/error.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"os"
 	"syscall"
 
 	"github.com/joomcode/errorx"
@@ -192,8 +191,7 @@
 		return WrongAnswer
 	case errors.Is(cause, fasthttp.ErrBodyTooLarge):
 		return TooLarge
-	case errors.Is(cause, context.DeadlineExceeded), errors.Is(cause, context.Canceled),
-		errors.Is(cause, os.ErrDeadlineExceeded):
+	case errors.Is(cause, context.DeadlineExceeded), errors.Is(cause, context.Canceled):
 		return Timeout
 	case errors.Is(cause, io.EOF), errors.Is(cause, io.ErrUnexpectedEOF), errors.Is(cause, syscall.ECONNRESET),
 		errors.Is(cause, syscall.EPIPE), errors.Is(cause, wire.ErrUnmarkedEnd):
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -13,7 +13,9 @@
 )
 
 const (
-	bufferBytes = 4096
+	// The header of an answer has to fit in the buffer for reading.
+	readBytes  = 16 << 10
+	writeBytes = 4 << 10
 	// maxInterim bounds the 1xx answers before the final one, so that a peer cannot keep a call
 	// busy with them.
 	maxInterim = 8
@@ -34,8 +36,8 @@
 
 func newConn(n net.Conn, o Options) *conn {
 	c := &conn{Conn: n, options: o}
-	c.reader = bufio.NewReaderSize(n, bufferBytes)
-	c.writer = bufio.NewWriterSize(c, bufferBytes)
+	c.reader = bufio.NewReaderSize(n, readBytes)
+	c.writer = bufio.NewWriterSize(c, writeBytes)
 	return c
 }
 
@@ -81,9 +83,17 @@
 	if err == nil {
 		err = c.receive(request, response)
 	}
-	if err != nil && ctx.Err() != nil {
+	if err == nil {
+		return nil
+	}
+	if ctx.Err() != nil {
 		return errors.Join(ctx.Err(), err)
 	}
+	// The connection's deadline is that of ctx and may fire a moment earlier.
+	var timeout interface{ Timeout() bool }
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return errors.Join(context.DeadlineExceeded, err)
+	}
 	return err
 }
 
