Add seeded interleaving tests of pkg/owner

Leases are counted from the arrival of the echoed timestamp: counted from the heartbeat, the lease of a silent process never lapsed. A revoke waits until a majority holds the closing: otherwise the next decider renewed a revoked fence.

--- a/pkg/owner/decider.go
+++ b/pkg/owner/decider.go
@@ -177,7 +177,7 @@
 	d.repairBuckets(now)
 	d.moveSpans(now)
 	if d.publish() || d.beatDue {
-		d.sendBeats(now)
+		d.sendBeats()
 	}
 	d.plan(now)
 }
--- a/pkg/owner/grants.go
+++ b/pkg/owner/grants.go
@@ -77,7 +77,7 @@
 	for _, id := range d.serviceIDs() {
 		for _, sp := range d.spans[id] {
 			if sp.granting && sp.Owner() == e.Server && sp.asked > 0 && sp.asked <= e.Version {
-				d.open(sp)
+				d.open(now, sp)
 			}
 		}
 	}
@@ -87,8 +87,10 @@
 	return slices.Sorted(maps.Keys(d.spans))
 }
 
-// sendRevokes tells the servers of kind grants to stop the spans that leave them. One message
-// carries all spans that left a server by one version.
+// sendRevokes tells the servers of kind grants to stop the spans that leave them, once a majority
+// holds them closed. Otherwise a next decider might not know of the closing, and renew a fence that
+// the server refuses from the revoke on. One message carries all spans that left a server by one
+// version.
 func (d *Decider) sendRevokes(wanted func(*leave) bool) {
 	type key struct {
 		server  assign.ServerID
@@ -100,9 +102,10 @@
 		for _, s := range d.spans[id] {
 			for _, l := range s.leaves {
 				owner := d.servers[l.server]
-				if !wanted(l) || l.version == 0 || !owner.ready() || owner.Fencing != assign.Grants {
+				if !wanted(l) || !d.Held(l.version) || !owner.ready() || owner.Fencing != assign.Grants {
 					continue
 				}
+				l.revoked = true
 				k := key{l.server, l.version}
 				if work[k] == nil {
 					order = append(order, k)
@@ -120,6 +123,10 @@
 	d.sendRevokes(func(l *leave) bool { return !l.done })
 }
 
+func (d *Decider) firstRevokes() {
+	d.sendRevokes(func(l *leave) bool { return !l.done && !l.revoked })
+}
+
 func (d *Decider) revokeAnswered(e RevokeAnswered) {
 	if !e.OK {
 		return
--- a/pkg/owner/publish.go
+++ b/pkg/owner/publish.go
@@ -22,7 +22,6 @@
 	d.table = d.makeTable(version)
 	d.stamp(version)
 	d.act(Note{Kind: NoteTable, Version: version})
-	d.sendRevokes(func(l *leave) bool { return !l.done && l.version == version })
 	return true
 }
 
--- a/pkg/owner/runs.go
+++ b/pkg/owner/runs.go
@@ -18,10 +18,12 @@
 	listed   uint64
 	acked    uint64
 	inFlight map[assign.ServerID]int
-	echo     time.Time
-	heard    time.Time
-	ended    bool
-	endedAt  time.Time
+	// echo is the process's last timestamp, which arrived at echoAt.
+	echo    time.Time
+	echoAt  time.Time
+	heard   time.Time
+	ended   bool
+	endedAt time.Time
 	// clear holds servers of kind none that were idle after the run had ended.
 	clear map[assign.ServerID]bool
 }
@@ -48,11 +50,13 @@
 	r.heard = now
 	if e.Sent.After(r.echo) {
 		r.echo = e.Sent
+		r.echoAt = now
 	}
 	wasHeld := d.table != nil && d.Held(d.table.Version)
 	r.acknowledge(e)
 	if d.table != nil && !wasHeld && d.Held(d.table.Version) {
-		d.lendAll(now)
+		d.lendAll()
+		d.firstRevokes()
 	}
 }
 
@@ -159,16 +163,17 @@
 	return true
 }
 
-func (d *Decider) sendBeats(now time.Time) {
+func (d *Decider) sendBeats() {
 	d.beatDue = false
 	for _, p := range d.processes {
-		d.sendBeat(now, p.ID)
+		d.sendBeat(p.ID)
 	}
 }
 
-// sendBeat sends a heartbeat. The lease is counted from now, which is after the echoed timestamp
-// however late the message is sent.
-func (d *Decider) sendBeat(now time.Time, id assign.ProcessID) {
+// sendBeat sends a heartbeat. The holder counts the lease from the echoed timestamp, so it is counted
+// here from the time that timestamp arrived, however late the heartbeat is sent. Counted from the
+// heartbeat, the lease of a silent process would never lapse.
+func (d *Decider) sendBeat(id assign.ProcessID) {
 	beat := SendBeat{Process: id, Term: d.term}
 	r := d.current[id]
 	if r != nil {
@@ -176,7 +181,7 @@
 		beat.Echo = r.echo
 		if d.mayLend(r) {
 			beat.Length = d.config.ServingLease
-			r.given.Extend(now, beat.Length, d.config.Margin)
+			r.given.Extend(r.echoAt, beat.Length, d.config.Margin)
 		}
 	}
 	if d.table != nil && (r == nil || r.acked < d.table.Version) {
@@ -191,10 +196,10 @@
 }
 
 // lendAll sends the heartbeat early to the runs that wait for their first lease.
-func (d *Decider) lendAll(now time.Time) {
+func (d *Decider) lendAll() {
 	for _, p := range d.processes {
 		if r := d.current[p.ID]; r != nil && d.mayLend(r) && r.neverLent() {
-			d.sendBeat(now, p.ID)
+			d.sendBeat(p.ID)
 		}
 	}
 }
--- /dev/null
+++ b/pkg/owner/simproc_test.go
@@ -0,0 +1,363 @@
+package owner_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/samphiredrum/samphiredrum/pkg/assign"
+	"github.com/samphiredrum/samphiredrum/pkg/lease"
+	"github.com/samphiredrum/samphiredrum/pkg/owner"
+)
+
+// proc is one entry process: a Follower, a Decider while it leads, and traffic.
+type proc struct {
+	sim      *simulation
+	id       assign.ProcessID
+	clock    clock
+	number   int
+	up       bool
+	paused   bool
+	waiting  []func()
+	follower *owner.Follower
+	decider  *owner.Decider
+	// until is the end of the term by simulated time; the process leads before it.
+	until   time.Duration
+	term    uint64
+	clocks  map[assign.ServerID]*lease.ServerClock
+	calls   []*simCall
+	lastAck uint64
+}
+
+// simCall is one call in flight.
+type simCall struct {
+	key      uint64
+	server   *simServer
+	fence    lease.Fence
+	version  uint64
+	deadline time.Time
+}
+
+func (p *proc) incarnation() string { return fmt.Sprintf("%s.%d", p.id, p.number) }
+
+func (p *proc) read() time.Time { return p.clock.read(p.sim.now) }
+
+// run does something in the process's threads now, or when its pause ends. Nothing is done for an
+// earlier run of the process.
+func (p *proc) run(do func()) {
+	number := p.number
+	p.runAs(number, do)
+}
+
+func (p *proc) runAs(number int, do func()) {
+	switch {
+	case !p.up || number != p.number:
+	case p.paused:
+		p.waiting = append(p.waiting, func() { p.runAs(number, do) })
+	default:
+		do()
+	}
+}
+
+// send hands a message to the network after a moment in which the process may be paused: the check
+// has been made, the message is not yet sent.
+func (p *proc) send(to string, deliver func()) {
+	number := p.number
+	p.sim.after(p.sim.between(0, 200*time.Microsecond), func() {
+		p.runAs(number, func() { p.sim.transmit(string(p.id), to, true, deliver) })
+	})
+}
+
+func (p *proc) start() {
+	p.number++
+	p.up = true
+	p.paused = false
+	p.follower = owner.NewFollower(p.incarnation())
+	p.clocks = make(map[assign.ServerID]*lease.ServerClock)
+	for _, v := range p.sim.servers {
+		p.clocks[v.id] = lease.NewServerClock(lease.DefaultMargin)
+	}
+	p.calls = nil
+	p.waiting = nil
+	p.decider = nil
+	p.until = 0
+}
+
+func (p *proc) kill() {
+	p.sim.log("%s ends", p.incarnation())
+	p.up = false
+	p.paused = false
+}
+
+func (p *proc) pause(length time.Duration) {
+	if p.paused || !p.up {
+		return
+	}
+	p.sim.log("%s pauses for %v", p.id, length)
+	p.paused = true
+	number := p.number
+	p.sim.after(length, func() {
+		if number == p.number && p.paused {
+			p.resume()
+		}
+	})
+}
+
+func (p *proc) resume() {
+	p.sim.log("%s resumes", p.id)
+	p.paused = false
+	waiting := p.waiting
+	p.waiting = nil
+	for _, do := range waiting {
+		do()
+	}
+}
+
+// leads reports whether the process holds its term.
+func (p *proc) leads() bool { return p.decider != nil && p.sim.now < p.until }
+
+// decide steps the decider where the term is held.
+func (p *proc) decide(e owner.DeciderEvent) {
+	number, term := p.number, p.term
+	p.runAs(number, func() {
+		if term == p.term && p.leads() {
+			p.perform(p.decider.Step(p.read(), e))
+			p.note()
+		}
+	})
+}
+
+// note records what the decider may report as acknowledged.
+func (p *proc) note() {
+	t := p.decider.Table()
+	if t != nil && t.Version > p.lastAck && p.decider.Held(t.Version) {
+		p.lastAck = t.Version
+		p.sim.history.acknowledge(t)
+	}
+}
+
+func (p *proc) perform(actions []owner.DeciderAction) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case owner.SendBeat:
+			p.sendBeat(a)
+		case owner.SendGrant:
+			p.sendGrant(a)
+		case owner.SendRevoke:
+			p.sendRevoke(a)
+		case owner.ProbeServer:
+			p.probe(a)
+		case owner.WriteRecord:
+			p.sim.store.write(p, a)
+		case owner.ReadRecord:
+			p.sim.store.read(p)
+		case owner.StepDown:
+			p.sim.log("%s steps down: %s", p.id, a.Reason)
+			p.until = p.sim.now
+		case owner.Note:
+			p.sim.log("%s term %d: %s %s %s fence %d version %x", p.id, p.term, a.Kind, a.Server, a.Process, a.Fence, a.Version)
+		}
+	}
+}
+
+func (p *proc) sendBeat(b owner.SendBeat) {
+	to := p.sim.proc(b.Process)
+	received := owner.BeatReceived{
+		From: p.id, Term: b.Term, Incarnation: b.Incarnation, Echo: b.Echo, Length: b.Length, Table: b.Table,
+	}
+	p.send(string(to.id), func() {
+		if !to.up {
+			p.decide(owner.ProcessEnded{Process: b.Process, Incarnation: b.Incarnation})
+			return
+		}
+		to.run(func() { to.follow(received) })
+	})
+}
+
+// follow steps the follower.
+func (p *proc) follow(e owner.FollowerEvent) {
+	for _, a := range p.follower.Step(p.read(), e) {
+		switch a := a.(type) {
+		case owner.Apply:
+			p.count()
+		case owner.Answer:
+			p.answer(a)
+		}
+	}
+}
+
+func (p *proc) answer(a owner.Answer) {
+	to := p.sim.proc(a.To)
+	answered := owner.ProcessAnswered{
+		Process: p.id, Incarnation: a.Incarnation, Term: a.Term, Sent: a.Sent, Version: a.Version, InFlight: a.InFlight,
+	}
+	p.send(string(a.To), func() { to.decide(answered) })
+}
+
+// count reports the calls in flight that the table in force no longer allows.
+func (p *proc) count() {
+	t := p.follower.Table()
+	if t == nil {
+		return
+	}
+	counts := make(map[assign.ServerID]int)
+	for _, c := range p.calls {
+		h, ok := t.Lookup(service, c.key)
+		kept := ok && h.Open && h.Owner() == c.server.id && h.Fence() == c.fence
+		if c.version < t.Version && !kept {
+			counts[c.server.id]++
+		}
+	}
+	p.follow(owner.InFlightCounted{Version: t.Version, InFlight: counts})
+}
+
+func (p *proc) observe(v *simServer, reading time.Time) {
+	p.clocks[v.id].Observe(p.read(), reading)
+}
+
+// request sends a request to a server. It is bound to the server's process at the time of sending,
+// as a connection is. Calls are not repeated: a connection delivers them once, and a kind that
+// checks nothing could not tell a repetition.
+func (p *proc) request(v *simServer, repeats bool, handle func(answer func(func())), refused func()) {
+	number := p.number
+	back := func(do func()) {
+		reading := v.read()
+		p.sim.transmit(string(v.id), string(p.id), repeats, func() {
+			p.runAs(number, func() {
+				p.observe(v, reading)
+				do()
+			})
+		})
+	}
+	p.sim.after(p.sim.between(0, 200*time.Microsecond), func() {
+		p.runAs(number, func() {
+			to := v.number
+			p.sim.transmit(string(p.id), string(v.id), repeats, func() {
+				v.receive(to, func() { handle(back) }, func() { p.runAs(number, refused) })
+			})
+		})
+	})
+}
+
+func (p *proc) sendGrant(g owner.SendGrant) {
+	v := p.sim.server(g.Server)
+	limit, ok := p.clocks[v.id].NotAfter(g.Deadline)
+	if !ok {
+		return
+	}
+	p.request(v, true, func(answer func(func())) {
+		accepted := v.grant(g.Incarnation, g.Spans, limit)
+		incarnation := v.incarnation()
+		answer(func() {
+			p.decide(owner.GrantAnswered{Server: v.id, Incarnation: incarnation, Version: g.Version, OK: accepted})
+		})
+	}, nothing)
+}
+
+func (p *proc) sendRevoke(r owner.SendRevoke) {
+	v := p.sim.server(r.Server)
+	p.request(v, true, func(answer func(func())) {
+		v.revoke(r.Spans, func() {
+			answer(func() { p.decide(owner.RevokeAnswered{Server: v.id, Version: r.Version, OK: true}) })
+		})
+	}, nothing)
+}
+
+func (p *proc) probe(q owner.ProbeServer) {
+	v := p.sim.server(q.Server)
+	asked := p.read()
+	p.request(v, true, func(answer func(func())) {
+		answered := owner.ServerAnswered{
+			Server: v.id, Incarnation: v.incarnation(), AskedAt: asked, Idle: len(v.active) == 0, Draining: v.draining,
+		}
+		answer(func() { p.decide(answered) })
+	}, func() {
+		p.decide(owner.ServerEnded{Server: v.id, Incarnation: q.Incarnation, Gone: v.gone})
+	})
+}
+
+// traffic makes a call, and after the last fault one for each key.
+func (p *proc) traffic() {
+	if p.sim.faults {
+		p.call(p.sim.keys[p.sim.rng.IntN(len(p.sim.keys))])
+		return
+	}
+	for _, key := range p.sim.keys {
+		p.call(key)
+	}
+}
+
+// call makes one call: it checks lease and table, and sends a moment later.
+func (p *proc) call(key uint64) {
+	t := p.follower.Table()
+	if !p.follower.Serves(p.read()) {
+		return
+	}
+	h, ok := t.Lookup(service, key)
+	if !ok || !h.Open {
+		return
+	}
+	v := p.sim.server(h.Owner())
+	c := &simCall{key: key, server: v, fence: h.Fence(), version: t.Version}
+	c.deadline = p.read().Add(p.sim.between(100*time.Millisecond, 3*time.Second))
+	if e := p.follower.Expires(); e.Before(c.deadline) {
+		c.deadline = e
+	}
+	limit, known := p.clocks[v.id].NotAfter(c.deadline)
+	if !known && p.sim.kind == assign.Deadlines {
+		p.learn(v)
+		return
+	}
+	p.calls = append(p.calls, c)
+	p.expire(c)
+	p.forward(c, limit)
+}
+
+// learn reads the server's clock.
+func (p *proc) learn(v *simServer) {
+	p.request(v, true, func(answer func(func())) { answer(nothing) }, nothing)
+}
+
+func (p *proc) forward(c *simCall, limit time.Time) {
+	length := p.sim.between(time.Millisecond, 60*time.Millisecond)
+	if p.sim.chance(0.05) {
+		length = p.sim.between(100*time.Millisecond, 1500*time.Millisecond)
+	}
+	number := p.number
+	done := func() { p.runAs(number, func() { p.finish(c) }) }
+	p.request(c.server, false, func(answer func(func())) {
+		c.server.call(c.key, c.fence, limit, length, func(ran bool) {
+			at := p.sim.now
+			answer(func() {
+				if ran {
+					p.sim.history.served[c.key] = at
+				}
+				p.finish(c)
+			})
+		})
+	}, done)
+}
+
+// expire drops a call to a server of kind deadlines once its deadline has passed.
+func (p *proc) expire(c *simCall) {
+	if p.sim.kind != assign.Deadlines {
+		return
+	}
+	number := p.number
+	p.sim.after(p.clock.until(c.deadline)-p.sim.now+time.Microsecond, func() {
+		p.runAs(number, func() { p.finish(c) })
+	})
+}
+
+// finish removes a call, and reports the count where the call was still awaited.
+func (p *proc) finish(c *simCall) {
+	for i, o := range p.calls {
+		if o != c {
+			continue
+		}
+		p.calls = append(p.calls[:i:i], p.calls[i+1:]...)
+		if t := p.follower.Table(); t != nil && c.version < t.Version {
+			p.count()
+		}
+		return
+	}
+}
--- a/pkg/owner/spans.go
+++ b/pkg/owner/spans.go
@@ -34,6 +34,8 @@
 	given  lease.Given
 	// version is the first table that has the span closed, 0 before it is published.
 	version uint64
+	// revoked is set once a revoke was sent.
+	revoked bool
 	// done is set where the server confirmed the revoke or its process has ended.
 	done bool
 }
@@ -128,11 +130,12 @@
 		s.granting = true
 		return
 	}
-	d.open(s)
+	d.open(now, s)
 }
 
 // open publishes the span as open with the next table.
-func (d *Decider) open(s *span) {
+func (d *Decider) open(now time.Time, s *span) {
+	d.voluntary.opened = now
 	s.Open = true
 	s.used = true
 	s.granting = false
--- a/pkg/owner/volunt.go
+++ b/pkg/owner/volunt.go
@@ -24,6 +24,8 @@
 type voluntary struct {
 	// planned is the time of the last look for moves.
 	planned time.Time
+	// opened is the time at which the last span opened.
+	opened time.Time
 	// since and spent account for the churn budget of each service.
 	since   time.Time
 	spent   map[assign.ServiceID]float64
@@ -91,9 +93,13 @@
 	return plan
 }
 
-// settled reports whether every run of a process answers. While one does not, a move away from a
-// server without grants would wait for it with the span closed.
+// settled reports whether every run of a process answers and no span has opened lately. While a
+// process does not answer, a move away from a server without grants would wait for it with the span
+// closed. A span that was just repaired should serve before it moves again.
 func (d *Decider) settled(now time.Time) bool {
+	if now.Sub(d.voluntary.opened) < d.config.ServingLease {
+		return false
+	}
 	return d.everyRun(func(r *run) bool { return !r.ended && now.Sub(r.heard) < d.config.Silence })
 }
 
