--- a/internal/demo/member.go
+++ b/internal/demo/member.go
@@ -95,11 +95,12 @@
 
 // call makes one call through a random entry process and records what the caller was told.
 func (m *member) call(service *conf.Service, operation conf.Operation, id, prefix, booking string) caller.Answer {
-	plan := m.fleet.Plan().Processes
-	entry := plan[m.random.IntN(len(plan))]
+	// The platform's balancer leaves out processes that are gone.
+	names := m.fleet.Names()
+	entry := m.fleet.Node(names[m.random.IntN(len(names))])
 	key := fmt.Sprintf("key-%d", m.random.IntN(keys))
 	started := time.Now()
-	answer, err := m.client.Do(entry.CallerAddress, caller.Call{
+	answer, err := m.client.Do(entry.CallerAddress(), caller.Call{
 		Method:         operation.Method,
 		Path:           caller.Path(service, operation, key),
 		Body:           body(operation),
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -45,6 +45,9 @@
 	requestIDSeparator = "~"
 )
 
+// stopWait bounds the wait for the goroutines of closed connections.
+const stopWait = 100 * time.Millisecond
+
 // maxTimeout bounds the time that a caller may ask for.
 const maxTimeout = 10 * time.Minute
 
@@ -69,17 +72,17 @@
 	router   *Router
 	config   HTTPConfig
 	app      *fiber.App
-	listener net.Listener
+	listener *listener
 	group    conc.WaitGroup
 }
 
 // ListenHTTP starts to take calls on the address. It returns ErrListen where that fails.
 func ListenHTTP(address string, router *Router, config HTTPConfig) (*HTTP, error) {
-	listener, err := net.Listen("tcp", address)
+	bound, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, ErrListen.Wrap(err, "set caller-address to a free address of this VM, not %s", address)
 	}
-	h := &HTTP{router: router, config: config, listener: listener}
+	h := &HTTP{router: router, config: config, listener: newListener(bound)}
 	h.app = fiber.New(fiber.Config{
 		BodyLimit:      config.Limits.BodyBytes,
 		ReadBufferSize: config.Limits.HeaderBytes,
@@ -104,12 +107,14 @@
 	return h.listener.Addr().String()
 }
 
-// Stop closes the listener and waits until the calls in flight have their answers or the context
-// ends.
-func (h *HTTP) Stop(ctx context.Context) error {
-	err := h.app.ShutdownWithContext(ctx)
+// Stop closes the listener, then the connections of callers. Calls still in flight are cut, so the
+// router must be empty at a planned stop.
+func (h *HTTP) Stop() {
+	h.listener.Close()
+	h.listener.closeConns()
+	// With no connection left there is nothing that the shutdown could fail to wait for.
+	_ = h.app.ShutdownWithTimeout(stopWait)
 	h.group.Wait()
-	return err
 }
 
 // ready answers the balancer.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,10 +19,12 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 
 	"github.com/samphiredrum/samphiredrum/internal/conf"
 	"github.com/samphiredrum/samphiredrum/internal/node"
@@ -50,7 +52,9 @@
 	platform *stand.Platform
 	backends map[assign.ServerID]*stand.Backend
 	nodes    map[assign.ProcessID]*node.Node
-	killed   map[assign.ProcessID]bool
+
+	mu     sync.Mutex
+	killed map[assign.ProcessID]bool
 }
 
 // Option changes a Fleet.
@@ -176,14 +180,15 @@
 
 // Stop ends the entry processes, then the stand-ins.
 func (f *Fleet) Stop() {
-	for name, n := range f.nodes {
-		if !f.killed[name] {
-			n.Kill()
-		}
+	var group conc.WaitGroup
+	for _, name := range f.Names() {
+		group.Go(f.nodes[name].Kill)
 	}
+	group.Wait()
 	for _, b := range f.backends {
-		b.Kill()
+		group.Go(b.Kill)
 	}
+	group.Wait()
 	f.platform.Stop()
 }
 
@@ -204,6 +209,8 @@
 
 // Names returns the entry processes that were not killed, in order.
 func (f *Fleet) Names() []assign.ProcessID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	var names []assign.ProcessID
 	for _, p := range f.plan.Processes {
 		if !f.killed[p.Name] {
@@ -220,7 +227,9 @@
 
 // Kill ends an entry process at once.
 func (f *Fleet) Kill(name assign.ProcessID) {
+	f.mu.Lock()
 	f.killed[name] = true
+	f.mu.Unlock()
 	f.nodes[name].Kill()
 }
 
--- a/internal/node/beat.go
+++ b/internal/node/beat.go
@@ -211,12 +211,13 @@
 	if c.leading == nil || !peer.Refused(m.cause) {
 		return
 	}
-	last, ok := c.leading.followers[m.from]
-	if !ok {
-		return
+	// Without an answer in this term the incarnation is empty, which stands for the runs of earlier
+	// terms.
+	last, answered := c.leading.followers[m.from]
+	if answered {
+		delete(c.leading.followers, m.from)
+		c.note(event.Event{Kind: event.Fault, Detail: "process " + string(m.from) + " refuses connections"})
 	}
-	delete(c.leading.followers, m.from)
-	c.note(event.Event{Kind: event.Fault, Detail: "process " + string(m.from) + " refuses connections"})
 	c.decide(owner.ProcessEnded{Process: m.from, Incarnation: last.Incarnation})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -197,11 +197,7 @@
 		l.control.Close()
 		l.traffic.Close()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	if err := n.http.Stop(ctx); err != nil {
-		n.log.Warn().Err(err).Msg("callers were still connected")
-	}
+	n.http.Stop()
 	n.group.Wait()
 }
 
