--- a/internal/conf/form.go
+++ b/internal/conf/form.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/joomcode/errorx"
 	"golang.org/x/net/http/httpguts"
 
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
@@ -53,12 +54,17 @@
 	return endpoint{address: address.(netip.AddrPort), domain: fields[1]}, nil
 }
 
+var namespace = errorx.NewNamespace("settings")
+
+// WrongKeySource is the kind of error of a key source that cannot be read.
+var WrongKeySource = namespace.NewType("wrong-key-source")
+
 // ParseKeySource reads a key source as it is written in a team file: "header:NAME", "query:NAME"
-// or "path:N". The error names the remedy.
+// or "path:N". The error is of kind WrongKeySource and names the remedy.
 func ParseKeySource(text string) (KeySource, error) {
 	source, f := parseKeySource(text)
 	if f != nil {
-		return nil, fmt.Errorf("%s; %s", f.problem, f.remedy)
+		return nil, WrongKeySource.New("%s; %s", f.problem, f.remedy)
 	}
 	return source.(KeySource), nil
 }
--- a/internal/conf/key.go
+++ b/internal/conf/key.go
@@ -77,12 +77,20 @@
 
 // Extract implements KeySource. White space around the value is not part of the key.
 func (h HeaderKey) Extract(header, _ func(string) string, _ string) (string, error) {
-	return checkKey(h, strings.Trim(header(h.Name), " \t"))
+	key := strings.Trim(header(h.Name), " \t")
+	if kind, ok := checkKey(key); !ok {
+		return "", &KeyError{Kind: kind, Source: h}
+	}
+	return key, nil
 }
 
 // Extract implements KeySource.
 func (q QueryKey) Extract(_, query func(string) string, _ string) (string, error) {
-	return checkKey(q, query(q.Name))
+	key := query(q.Name)
+	if kind, ok := checkKey(key); !ok {
+		return "", &KeyError{Kind: kind, Source: q}
+	}
+	return key, nil
 }
 
 // Extract implements KeySource. The segment is percent-decoded, so that every spelling of a key
@@ -96,7 +104,10 @@
 	if !ok {
 		return "", &KeyError{Kind: KeyMalformed, Source: s}
 	}
-	return checkKey(s, key)
+	if kind, ok := checkKey(key); !ok {
+		return "", &KeyError{Kind: kind, Source: s}
+	}
+	return key, nil
 }
 
 // String implements KeySource.
@@ -128,16 +139,17 @@
 	return segment, true
 }
 
-func checkKey(source KeySource, key string) (string, error) {
+// checkKey reports whether a key is usable, and why not.
+func checkKey(key string) (KeyErrorKind, bool) {
 	switch {
 	case key == "":
-		return "", &KeyError{Kind: KeyMissing, Source: source}
+		return KeyMissing, false
 	case len(key) > MaxKeyBytes:
-		return "", &KeyError{Kind: KeyTooLong, Source: source}
+		return KeyTooLong, false
 	case !utf8.ValidString(key) || strings.ContainsFunc(key, controlRune):
-		return "", &KeyError{Kind: KeyMalformed, Source: source}
+		return KeyMalformed, false
 	}
-	return key, nil
+	return 0, true
 }
 
 func controlRune(c rune) bool {
--- a/internal/conf/match.go
+++ b/internal/conf/match.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/url"
-	"slices"
 	"strings"
 )
 
@@ -40,38 +39,66 @@
 	return ok && (rest == "" || rest[0] == '/')
 }
 
-// cleanPath decodes a path. It reports false where the path is unsafe to classify.
+// cleanPath decodes a path. It reports false where the path is unsafe to classify. A path that
+// needs no decoding is returned as it is, without allocation.
 func cleanPath(path string) (string, bool) {
-	if path == "" || path[0] != '/' {
+	if path == "" || path[0] != '/' || strings.ContainsAny(path, "?#") {
 		return "", false
 	}
+	if strings.IndexByte(path, '%') < 0 {
+		return path, safePath(path)
+	}
 	segments := strings.Split(path[1:], "/")
-	last := len(segments) - 1
 	for i, raw := range segments {
 		segment, ok := cleanSegment(raw)
-		// An empty last segment is a trailing slash.
-		if !ok || (segment == "" && i != last) {
+		if !ok {
 			return "", false
 		}
 		segments[i] = segment
 	}
-	if slices.Contains(reserved, strings.ToLower(segments[0])) {
-		return "", false
+	decoded := "/" + strings.Join(segments, "/")
+	return decoded, safePath(decoded)
+}
+
+// safePath reports whether each segment of a decoded path is safe, none but the last is empty, and
+// the first is not reserved. An empty last segment is a trailing slash.
+func safePath(path string) bool {
+	rest, more := path[1:], true
+	for first := true; more; first = false {
+		var segment string
+		segment, rest, more = strings.Cut(rest, "/")
+		if !safeSegment(segment) || (segment == "" && more) || (first && isReserved(segment)) {
+			return false
+		}
 	}
-	return "/" + strings.Join(segments, "/"), true
+	return true
+}
+
+func isReserved(segment string) bool {
+	for _, r := range reserved {
+		if strings.EqualFold(segment, r) {
+			return true
+		}
+	}
+	return false
 }
 
 // cleanSegment decodes one path segment. It reports false for dot segments, separators, control
-// characters and invalid encodings.
+// characters, query and fragment marks, and invalid encodings.
 func cleanSegment(raw string) (string, bool) {
 	if strings.ContainsAny(raw, "?#") {
 		return "", false
 	}
 	segment, err := url.PathUnescape(raw)
-	if err != nil || segment == "." || segment == ".." {
+	if err != nil {
 		return "", false
 	}
-	return segment, !strings.ContainsFunc(segment, unsafeRune)
+	return segment, safeSegment(segment)
+}
+
+// safeSegment reports whether no server takes a decoded segment for another path.
+func safeSegment(segment string) bool {
+	return segment != "." && segment != ".." && !strings.ContainsFunc(segment, unsafeRune)
 }
 
 func unsafeRune(c rune) bool {
--- a/internal/conf/services.go
+++ b/internal/conf/services.go
@@ -196,6 +196,7 @@
 	for _, name := range slices.Sorted(maps.Keys(b.services)) {
 		d := b.services[name]
 		b.checkDraft(name, d)
+		b.checkSegments(d)
 		slices.SortFunc(d.service.Operations, compareOperations)
 		t.Services = append(t.Services, d.service)
 	}
@@ -213,6 +214,22 @@
 	}
 }
 
+// checkSegments reports operations whose prefix covers the path segment of the key: all their calls
+// would have one key, and so one server.
+func (b *teamBuilder) checkSegments(d *serviceDraft) {
+	source, ok := d.service.Key.(SegmentKey)
+	if !ok {
+		return
+	}
+	for _, o := range d.service.Operations {
+		if o.Prefix != "" && o.Prefix != "/" && strings.Count(o.Prefix, "/") >= source.Index {
+			b.report.add(d.matches[route{o.Method, o.Prefix}],
+				fmt.Sprintf("the key %s is inside the prefix %s, so all calls have one key", source, o.Prefix),
+				"name a later segment as the key, or shorten the prefix")
+		}
+	}
+}
+
 // compareOperations sorts the longest prefix first, so that the first match is the longest.
 func compareOperations(a, b Operation) int {
 	return cmp.Or(
--- a/internal/conf/table.go
+++ b/internal/conf/table.go
@@ -61,9 +61,9 @@
 
 	{ProcessFile, peersSection, anyName, peerKind{}, "", true, "One line for each entry process of the cell, this one included. The first electors are derived from this list, so it must be the same in all process files."},
 
-	{ProcessFile, timingSection, "term-lease", durationKind{100 * time.Millisecond, 3 * time.Second}, "1s", false, "Authority of a decider without renewal. With its margin it must be shorter than `serving-lease` and `grant`."},
-	{ProcessFile, timingSection, "serving-lease", durationKind{200 * time.Millisecond, 3 * time.Second}, "2s", false, "Right of an entry process to forward calls without renewal. With its margin it must be shorter than 3 s."},
-	{ProcessFile, timingSection, "grant", durationKind{200 * time.Millisecond, 3 * time.Second}, "2s", false, "Right of a server to run work for its spans without renewal. With its margin it must be shorter than 3 s."},
+	{ProcessFile, timingSection, "term-lease", durationKind{100 * time.Millisecond, 3 * time.Second}, "1s", false, "Authority of a decider without renewal. With its margins it must be shorter than `serving-lease` and `grant`; with its margins and the longest of `serving-lease`, `grant` and `silence` it must take less than 4 s."},
+	{ProcessFile, timingSection, "serving-lease", durationKind{200 * time.Millisecond, 3 * time.Second}, "2s", false, "Right of an entry process to forward calls without renewal. With its margins it must be shorter than 3 s."},
+	{ProcessFile, timingSection, "grant", durationKind{200 * time.Millisecond, 3 * time.Second}, "2s", false, "Right of a server to run work for its spans without renewal. With its margins it must be shorter than 3 s."},
 	{ProcessFile, timingSection, "beat", durationKind{10 * time.Millisecond, time.Second}, "200ms", false, "Heartbeat interval. Two of them must be shorter than `term-lease` and `silence`."},
 	{ProcessFile, timingSection, "silence", durationKind{100 * time.Millisecond, 3 * time.Second}, "1s", false, "A server that does not answer for this long is treated as lost."},
 	{ProcessFile, timingSection, "rate-margin", shareKind{0.0005, 0.1}, "0.01", false, "Largest relative difference of two clock rates. Time daemons correct up to 0.0005."},
@@ -82,7 +82,7 @@
 	{TeamFile, teamSection, "contact", textKind{}, "", false, "Whom to ask about the team's services."},
 
 	{TeamFile, serviceSection, "exclusive", flagKind{}, "false", false, "Whether each key has one owning server."},
-	{TeamFile, serviceSection, "key", keyKind{}, "", false, "Where a call carries its key: a header, a query parameter, or a path segment after `/<team>/<service>`, counted from 1. Required where `exclusive` is true."},
+	{TeamFile, serviceSection, "key", keyKind{}, "", false, "Where a call carries its key: a header, a query parameter, or a path segment after `/<team>/<service>`, counted from 1 and after the prefix of every operation. Required where `exclusive` is true."},
 	{TeamFile, serviceSection, "fencing", choiceKind{assign.FencingStrings()}, "none", false, "What the servers check before they run a call. The default assumes nothing."},
 	{TeamFile, serviceSection, "slots", numberKind{"requests", 1, 1024}, "6", false, "Requests that one server runs concurrently."},
 	{TeamFile, serviceSection, "connections", numberKind{"connections", 1, 65535}, "130", false, "Connections that one server accepts from all entry processes together."},
@@ -90,7 +90,7 @@
 	{TeamFile, serviceSection, "churn-budget", shareKind{0, 1}, "0.02", false, "Share of the hash space that rebalancing may move in one minute. Moves after a loss and drains do not count."},
 
 	{TeamFile, operationSection, "match", matchKind{}, "", true, "Method and path prefix after `/<team>/<service>`. A prefix covers whole segments; the longest one wins."},
-	{TeamFile, operationSection, "repeatable", flagKind{}, "false", false, "Whether a call may run more than once. It must be false for bookings."},
+	{TeamFile, operationSection, "repeatable", flagKind{}, "false", false, "Whether a call may run more than once. It must be false for bookings, and a booking cannot match GET, HEAD or PUT, which HTTP clients repeat on their own."},
 	{TeamFile, operationSection, "class", choiceKind{ClassStrings()}, "short", false, "How a call is queued, and whether it runs at most once (`booking`) or needs a token (`long`)."},
 	{TeamFile, operationSection, "timeout", durationKind{time.Millisecond, 10 * time.Minute}, "1s", false, "Time a call has where its caller asks for none or for more."},
 
