--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -57,7 +57,10 @@
 
 // commands returns the commands of the program.
 func commands() []*cobra.Command {
-	return []*cobra.Command{checkCommand(), demoCommand(), serveCommand(), versionCommand()}
+	return []*cobra.Command{
+		checkCommand(), configCommand(), demoCommand(), drainCommand(), serveCommand(), statusCommand(),
+		timelineCommand(), versionCommand(),
+	}
 }
 
 // Execute runs the command that args name, without the program's own name, and returns the exit
@@ -137,6 +140,27 @@
 	}
 }
 
+// atMostOne allows one argument or none.
+func atMostOne(name string) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if len(args) <= 1 {
+			return nil
+		}
+		return Usage.New("%q takes one %s at most; run \"%s --help\" for examples", c.Name(), name, c.CommandPath())
+	}
+}
+
+// exactly requires one argument for each name.
+func exactly(names ...string) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if len(args) == len(names) {
+			return nil
+		}
+		return Usage.New("%q needs the arguments %s; run \"%s --help\" for examples",
+			c.Name(), strings.Join(names, " "), c.CommandPath())
+	}
+}
+
 // noArguments requires that there are none.
 func noArguments(c *cobra.Command, args []string) error {
 	if len(args) == 0 {
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
+	"github.com/samphiredrum/samphiredrum/internal/admin"
 	"github.com/samphiredrum/samphiredrum/internal/conf"
 	"github.com/samphiredrum/samphiredrum/internal/logs"
 	"github.com/samphiredrum/samphiredrum/internal/node"
@@ -50,6 +51,12 @@
 	if err := n.Start(); err != nil {
 		return err
 	}
+	operators, err := admin.Listen(settings.AdminAddress, n, cancel)
+	if err != nil {
+		n.Kill()
+		return err
+	}
+	defer operators.Stop()
 	<-ctx.Done()
 	stopping, end := context.WithTimeout(context.WithoutCancel(ctx), stopTime)
 	defer end()
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -270,7 +270,7 @@
 
 // notToken reports whether a character may not be part of a caller's request identifier.
 func notToken(c rune) bool {
-	return !(c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_')
+	return (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && (c < '0' || c > '9') && c != '-' && c != '_'
 }
 
 // refusalBody is the body of answers to calls that did not run.
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -81,6 +81,7 @@
 
 	view     atomic.Pointer[View]
 	expires  atomic.Int64
+	retired  atomic.Bool
 	stopping atomic.Bool
 	active   atomic.Int64
 	attempts atomic.Uint64
@@ -149,9 +150,10 @@
 	return time.Unix(0, r.expires.Load())
 }
 
-// Serves reports whether the process holds a serving lease and is not stopping.
+// Serves reports whether the balancer should send calls: the process holds a serving lease and has
+// not been retired.
 func (r *Router) Serves() bool {
-	return !r.stopping.Load() && r.leased()
+	return !r.retired.Load() && r.leased()
 }
 
 func (r *Router) leased() bool {
@@ -163,8 +165,14 @@
 	return r.tracker
 }
 
+// Retire reports unready to the balancer. New calls are still taken.
+func (r *Router) Retire() {
+	r.retired.Store(true)
+}
+
 // Stop refuses new calls. Calls in flight go on.
 func (r *Router) Stop() {
+	r.Retire()
 	r.stopping.Store(true)
 }
 
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/samphiredrum/samphiredrum/internal/peer"
+	"github.com/samphiredrum/samphiredrum/pkg/owner"
 )
 
 // Claim implements peer.Handler.
@@ -83,6 +84,22 @@
 	}
 }
 
+// Drain implements peer.Handler.
+func (n *Node) Drain(request peer.DrainRequest) peer.DrainAnswer {
+	n.logical.Witness(request.Logical)
+	reply := make(chan bool, 1)
+	m := drainServer{event: owner.DrainServer{Server: request.Server, Cancel: request.Cancel}, reply: reply}
+	if !n.post(m) {
+		return peer.DrainAnswer{}
+	}
+	select {
+	case accepted := <-reply:
+		return peer.DrainAnswer{Header: n.header(), Accepted: accepted}
+	case <-n.ctx.Done():
+		return peer.DrainAnswer{}
+	}
+}
+
 // Token implements peer.Handler.
 func (n *Node) Token(request peer.TokenRequest) peer.TokenAnswer {
 	n.logical.Witness(request.Logical)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -175,8 +175,9 @@
 // waits for the calls in flight, hands its tasks over and ends. The context bounds the wait.
 func (n *Node) Stop(ctx context.Context) {
 	n.log.Info().Msg("draining")
-	n.router.Stop()
+	n.router.Retire()
 	wait(ctx, n.settings.Timing.DrainNotice)
+	n.router.Stop()
 	n.awaitCalls(ctx)
 	n.router.Wait()
 	n.handOver(ctx)
@@ -269,7 +270,7 @@
 	return n.settings
 }
 
-// Events returns the control events of the process, oldest first.
+// LocalEvents returns the control events of the process, oldest first.
 func (n *Node) LocalEvents() []event.Event {
 	return n.ring.Events()
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -101,3 +101,13 @@
 	}
 	return *answer, nil
 }
+
+// Drain asks the decider to drain a server. It returns ErrUnreachable where no answer
+// arrives before the context ends.
+func (l *Link) Drain(ctx context.Context, request DrainRequest) (DrainAnswer, error) {
+	answer := new(DrainAnswer)
+	if err := l.call(ctx, "Drain", request, answer); err != nil {
+		return DrainAnswer{}, err
+	}
+	return *answer, nil
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -167,6 +167,19 @@
 	Electors int
 }
 
+// DrainRequest asks the decider to drain a server, or with Cancel to use it again.
+type DrainRequest struct {
+	Header
+	Server assign.ServerID
+	Cancel bool
+}
+
+// DrainAnswer reports whether the receiver is the decider and knows the server.
+type DrainAnswer struct {
+	Header
+	Accepted bool
+}
+
 // TokenRequest tells the keeper of a server about tokens for long work. One of its parts is set.
 type TokenRequest struct {
 	Header
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -53,6 +53,7 @@
 	State(StateRequest) StateAnswer
 	Events(EventsRequest) EventsAnswer
 	Changed(ChangedRequest) ChangedAnswer
+	Drain(DrainRequest) DrainAnswer
 	Token(TokenRequest) TokenAnswer
 	Reserve(ReserveRequest) ReserveAnswer
 	Finish(FinishRequest) FinishAnswer
@@ -100,6 +101,12 @@
 	return nil
 }
 
+// Drain is the net/rpc method of Handler.Drain.
+func (s *service) Drain(request DrainRequest, answer *DrainAnswer) error {
+	*answer = s.handler.Drain(request)
+	return nil
+}
+
 // Token is the net/rpc method of Handler.Token.
 func (s *service) Token(request TokenRequest, answer *TokenAnswer) error {
 	*answer = s.handler.Token(request)
