--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -152,7 +152,7 @@
 		wait(w.ctx, watchInterval)
 	}
 	if closer, ok := w.server.Client.(interface{ Close() error }); ok {
-		closer.Close()
+		_ = closer.Close()
 	}
 }
 
