Require a quorum of states, or the stored elector set, before an elector promises again

A majority of the other electors misses a term won under the set before the last change where the number of electors is even. A restarted elector that knows only an outdated set must not take that whole set's answers for the start of the cell.

--- a/pkg/elect/event.go
+++ b/pkg/elect/event.go
@@ -68,10 +68,13 @@
 // StateLearned tells that the process has the state of the cell, as one of
 //
 //   - the current table from a decider whose beat was accepted
-//   - the states of a majority of the other electors, counting only those for which
-//     Machine.Learned is true
+//   - the states of Machine.Quorum other electors, counting only those for which Machine.Learned
+//     is true. A majority of the others without this process is not enough where the number of
+//     electors is even: a term won under the set before the last change could be missed.
 //   - answers of all other electors, whether they have learned the state or not, as at the start of
-//     a whole cell; nothing more can be known then.
+//     a whole cell; nothing more can be known then. The elector set must have been read from the
+//     stored record since the first CollectStates: the processes of an outdated set may all have
+//     forgotten that it was replaced.
 //
 // Only what was received in answer to CollectStates, or in a beat since the first CollectStates,
 // counts. An earlier StateLearned raises the known term but does not end the wait. The owner steps
--- a/pkg/elect/network_test.go
+++ b/pkg/elect/network_test.go
@@ -382,22 +382,31 @@
 	}
 	nd.learned[from] = nd.learned[from] || s.learned
 	nd.highest = max(nd.highest, s.highest)
-	others, answered, learned := 0, 0, 0
+	answered, learned := nd.countStates()
+	if answered {
+		// The whole cell may have started. Only the stored record shows whether this set is current.
+		n.changeElectors(nd, n.record.electors, n.record.version)
+		answered, learned = nd.countStates()
+	}
+	if answered || learned >= nd.machine.Quorum() {
+		n.step(nd, elect.StateLearned{HighestTerm: nd.highest}, time.Time{})
+	}
+}
+
+// countStates reports whether all other electors have answered, and how many of them had learned
+// the state.
+func (nd *node) countStates() (answered bool, learned int) {
+	answered = true
 	for _, id := range nd.machine.Electors() {
-		if id == nd.id {
-			continue
+		l, ok := nd.learned[id]
+		if l {
+			learned++
 		}
-		others++
-		if l, ok := nd.learned[id]; ok {
-			answered++
-			if l {
-				learned++
-			}
+		if !ok && id != nd.id {
+			answered = false
 		}
 	}
-	if answered == others || learned > others/2 {
-		n.step(nd, elect.StateLearned{HighestTerm: nd.highest}, time.Time{})
-	}
+	return answered, learned
 }
 
 func (n *network) changeElectors(nd *node, electors []assign.ProcessID, version uint64) {
--- a/pkg/elect/schedule_test.go
+++ b/pkg/elect/schedule_test.go
@@ -48,6 +48,32 @@
 	n.expectRecovery()
 }
 
+// changingElectors changes the elector set as often as it may, while processes restart and the
+// decider is cut off.
+func changingElectors(n *network) {
+	n.run(faultsFrom)
+	for n.now < faultsUntil {
+		n.run(n.now + n.upTo(60*time.Millisecond))
+		nd := n.nodes[n.random.IntN(len(n.nodes))]
+		switch n.random.IntN(12) {
+		case 0, 1, 2, 3, 4, 5:
+			n.changeElectorSet(nd)
+		case 6:
+			if n.mayRestart(nd) {
+				n.restart(nd, n.random.IntN(3) == 0)
+			}
+		case 7:
+			n.cut(nd, n.nodes[n.random.IntN(len(n.nodes))], n.now+n.upTo(2*time.Second))
+		case 8:
+			if d := n.decider(); d != nil && n.random.IntN(4) == 0 {
+				n.isolate(d, n.upTo(2*time.Second), n.random.IntN(2) == 0, n.random.IntN(2) == 0)
+			}
+		}
+	}
+	n.heal()
+	n.expectRecovery()
+}
+
 func (n *network) expectRecovery() {
 	end := n.now + recovery
 	for n.now < end && n.decider() == nil {
@@ -277,6 +303,13 @@
 		Entry(nil, size{11, 11, 1500}),
 	)
 
+	// Guards against majorities of successive elector sets that do not intersect.
+	DescribeTable("with changing electors", func(s size) { runSchedules(s, changingElectors) },
+		func(s size) string { return s.String() },
+		Entry(nil, size{6, 3, 4000}),
+		Entry(nil, size{7, 5, 2000}),
+	)
+
 	// Guards against a returning process or a half-cut link that deposes a healthy decider.
 	DescribeTable("with a flapping minority", func(s size) { runSchedules(s, flappingMinority) },
 		func(s size) string { return s.String() },
