--- a/pkg/elect/network_test.go
+++ b/pkg/elect/network_test.go
@@ -49,6 +49,7 @@
 type record struct {
 	electors []assign.ProcessID
 	version  uint64
+	term     uint64
 }
 
 // view is a machine with its clock.
@@ -349,6 +350,7 @@
 		n.fault("term %d won by %s and by %s", a.Term, other, name)
 	}
 	n.winners[a.Term] = name
+	n.record.term = max(n.record.term, a.Term)
 	if len(a.Promised) < nd.machine.Quorum() {
 		n.fault("term %d won with %d promises", a.Term, len(a.Promised))
 	}
@@ -386,6 +388,7 @@
 	if answered {
 		// The whole cell may have started. Only the stored record shows whether this set is current.
 		n.changeElectors(nd, n.record.electors, n.record.version)
+		nd.highest = max(nd.highest, n.record.term)
 		answered, learned = nd.countStates()
 	}
 	if answered || learned >= nd.machine.Quorum() {
