--- a/pkg/elect/schedule_test.go
+++ b/pkg/elect/schedule_test.go
@@ -25,6 +25,8 @@
 	// recovery bounds the time without a decider after the last fault: the lapse of a promise, two
 	// failed rounds and the amnesia wait fit in it.
 	recovery = 3 * time.Second
+	// servingLease is the right of an entry process to forward, see docs/design.md 2.4.
+	servingLease = 2 * time.Second
 	// seedVariable names the environment variable that runs one schedule and prints its events.
 	seedVariable = "ELECT_SEED"
 )
@@ -238,6 +240,30 @@
 	}
 }
 
+// lostDeciders ends one decider after another and expects a new one while the serving leases that
+// the lost one gave are still valid.
+func lostDeciders(n *network) {
+	n.run(2 * time.Second)
+	for range 5 {
+		lost := n.decider()
+		if lost == nil {
+			n.fault("no decider to end")
+			return
+		}
+		lost.down = true
+		from := n.now
+		for n.decider() == nil && n.now-from < servingLease {
+			n.run(n.now + 10*time.Millisecond)
+		}
+		if n.decider() == nil {
+			n.fault("no decider %v after the loss of %s", servingLease, lost.id)
+		}
+		n.log("no decider for %v", n.now-from)
+		n.restart(lost, false)
+		n.run(n.now + 2*time.Second)
+	}
+}
+
 // size is a number of processes, electors and schedules.
 type size struct{ processes, electors, schedules int }
 
@@ -318,6 +344,15 @@
 		Entry(nil, size{11, 11, 300}),
 	)
 
+	// Guards against an election that outlasts the serving leases, so that the loss of the decider
+	// alone refuses calls.
+	DescribeTable("with lost deciders", func(s size) { runSchedules(s, lostDeciders) },
+		func(s size) string { return s.String() },
+		Entry(nil, size{3, 3, 500}),
+		Entry(nil, size{5, 5, 300}),
+		Entry(nil, size{11, 11, 100}),
+	)
+
 	// Guards against a planned stop that makes the cell wait for the lapse of the term.
 	DescribeTable("with planned stops", func(s size) { runSchedules(s, plannedStops) },
 		func(s size) string { return s.String() },
