--- a/internal/conf/check_test.go
+++ b/internal/conf/check_test.go
@@ -114,11 +114,24 @@
 		}
 		Expect(faultsOf(strings.Repeat("#", conf.MaxBytes+1))).To(HaveLen(1))
 		Expect(faultsOf("[team.yards]\n\xff = 1")[0].Problem).To(Equal("the text is not UTF-8"))
+		Expect(faultsOf("a = " + strings.Repeat("x", 70000))[0].Problem).To(HavePrefix(`the value of "a" is longer than`))
+		Expect(faultsOf("a = \\\n" + strings.Repeat("x\\\n", 600))[0].Problem).To(HavePrefix(`the value of "a" is longer than`))
 		many := faultsOf("[team.yards]\n" + strings.Repeat("a = 1\nb = 2\n", 1000))
 		Expect(many).To(HaveLen(conf.MaxFaults + 1))
 		Expect(many[conf.MaxFaults].Problem).To(Equal("1900 more faults are not listed"))
 	})
 
+	// Guards against work that grows with the square of the text: an operator could stop an entry
+	// process with one text. Such a fault shows as a test that does not end.
+	It("reads large texts of any shape", func() {
+		block := "a = \\\n" + strings.Repeat("x\\\n", 20000) + "\n\n"
+		for _, line := range []string{block, "a=\n", "servers=\\\n", "[a]\n", "[team.yards]\n"} {
+			text := "[team.yards.service.ledger]\n"
+			text += strings.Repeat(line, (conf.MaxBytes-len(text))/len(line))
+			Expect(conf.Check([]conf.Text{{Name: "f", Content: text}})).NotTo(BeEmpty(), line)
+		}
+	})
+
 	// Guards against a byte order mark or Windows line ends that change a name or a line number.
 	It("reads text from other editors", func() {
 		text := "\uFEFF" + strings.ReplaceAll(correctTeam, "\n", "\r\n")
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -32,9 +32,9 @@
 )
 
 const (
-	// MaxBytes is the size limit of one settings text in bytes. It is the largest value the object
-	// API stores.
-	MaxBytes = 1 << 20
+	// MaxBytes is the size limit of one settings text in bytes. The object API stores values of up
+	// to 1 MB; the token of the writer is stored with the text.
+	MaxBytes = 1_000_000 - 256
 	// MaxFaults is the number of faults one parser reports. It bounds the answer to an operator
 	// who submits a text of another format.
 	MaxFaults = 100
@@ -67,8 +67,13 @@
 	hidden int
 }
 
+// full reports whether further faults are only counted. A caller then need not look for a remedy.
+func (r *report) full() bool {
+	return len(r.faults) >= MaxFaults
+}
+
 func (r *report) add(line int, problem, remedy string) {
-	if len(r.faults) >= MaxFaults {
+	if r.full() {
 		r.hidden++
 		return
 	}
--- a/internal/conf/describe.go
+++ b/internal/conf/describe.go
@@ -136,11 +136,11 @@
 This page is generated from the table of keys in internal/conf. To write it again, run
 ` + "`go test ./internal/conf -update`" + `.
 
-Settings are INI text in UTF-8, at most 1 MB for each file. A setting is one line, ` + "`key = value`" + `. A
-backslash at the end of a line continues the value on the next line. A comment is a line that starts
-with ` + "`#` or `;`" + `, or the rest of a line after a space and one of them. Values are not expanded
-and quoted blocks are not read. A duration is a number with a unit: ` + "`200ms`, `2s`, `10m`" + `. A share is a
-decimal number from 0 to 1.
+Settings are INI text in UTF-8, just under 1 MB for each file. A setting is one line,
+` + "`key = value`" + `. A backslash at the end of a line continues the value on the next line, up to 64 KB and
+512 lines. A comment is a line that starts with ` + "`#` or `;`" + `, or the rest of a line after a space and
+one of them. Values are not expanded and quoted blocks are not read. A duration is a number with a
+unit: ` + "`200ms`, `2s`, `10m`" + `. A share is a decimal number from 0 to 1.
 
 Check files with ` + "`samphiredrum check FILE...`" + `.
 `
--- a/internal/conf/read.go
+++ b/internal/conf/read.go
@@ -12,6 +12,16 @@
 // byteOrderMark is written by some editors before UTF-8 text.
 const byteOrderMark = "\uFEFF"
 
+// The time that ini.v1 takes for a value over several lines grows with the product of its bytes and
+// lines; 1 MB on short lines takes over 10 s. The longest list of servers is below 48 KB, on one
+// line for each server.
+const (
+	// maxValueBytes bounds one value in bytes.
+	maxValueBytes = 64 << 10
+	// maxValueLines bounds the lines by which one value is continued.
+	maxValueLines = 2 * maxServers
+)
+
 // options make ini.v1 keep every section and key, so that the scan can pair each of them with its
 // line and duplicates are seen. Only "=" separates a key from its value, because values hold ":".
 // The child delimiter cannot occur in a name: ini.v1 would look a missing key up in the parent
@@ -84,7 +94,12 @@
 			key, value := scanKey(r, number, line)
 			last := &sections[len(sections)-1]
 			last.keys = append(last.keys, entry{name: key, line: number})
-			i += continued(value, lines[i+1:])
+			more, size := continued(value, lines[i+1:])
+			if size > maxValueBytes || more > maxValueLines {
+				r.add(number, fmt.Sprintf("the value of %q is longer than %d bytes or %d lines", brief(key), maxValueBytes, maxValueLines),
+					"shorten it")
+			}
+			i += more
 		}
 	}
 	return sections
@@ -118,44 +133,43 @@
 	return key, value
 }
 
-// continued returns the number of lines that belong to a value by a backslash at the line end.
-func continued(value string, rest []string) int {
-	n := 0
-	for strings.HasSuffix(value, `\`) && n < len(rest) {
-		value = strings.TrimSpace(rest[n])
-		n++
+// continued returns the number of lines that belong to a value by a backslash at the line end, and
+// the size of the whole value in bytes.
+func continued(value string, rest []string) (int, int) {
+	lines, size := 0, len(value)
+	for strings.HasSuffix(value, `\`) && lines < len(rest) {
+		value = strings.TrimSpace(rest[lines])
+		size += len(value)
+		lines++
 	}
-	return n
+	return lines, size
 }
 
 // withValues adds the values that ini.v1 read to the sections that the scan found.
 func withValues(sections []section, file *ini.File) []section {
 	parsed := file.Sections()
 	for i := range sections {
-		if i >= len(parsed) {
-			break
-		}
-		seen := make(map[string]int)
-		for j := range sections[i].keys {
-			e := &sections[i].keys[j]
-			e.value = valueAt(parsed[i], e.name, seen[e.name])
-			seen[e.name]++
+		if i < len(parsed) {
+			addValues(sections[i].keys, parsed[i])
 		}
 	}
 	return sections
 }
 
-// valueAt returns the value of the n-th setting of a key. It reads raw values, because ini.v1
-// otherwise expands %(name)s.
-func valueAt(s *ini.Section, name string, n int) string {
-	if !s.HasKey(name) {
-		return ""
+// addValues pairs the settings of a section with their values. A key that is set several times has
+// its values in order. The values of a key are read once, because ini.v1 copies all of them each
+// time, which would take minutes for a text that repeats one key.
+func addValues(keys []entry, parsed *ini.Section) {
+	rest := make(map[string][]string)
+	for _, k := range parsed.Keys() {
+		// The raw values: ini.v1 otherwise expands %(name)s.
+		rest[k.Name()] = k.ValueWithShadows()
 	}
-	values := s.Key(name).ValueWithShadows()
-	if n >= len(values) {
-		return ""
+	for i := range keys {
+		if values := rest[keys[i].name]; len(values) > 0 {
+			keys[i].value, rest[keys[i].name] = values[0], values[1:]
+		}
 	}
-	return values[n]
 }
 
 // brief shortens text from a file for a message and replaces characters that would break its line
--- a/internal/conf/values.go
+++ b/internal/conf/values.go
@@ -53,6 +53,10 @@
 }
 
 func (v *values) unknown(r *report, e entry, known []setting) {
+	if r.full() {
+		r.hidden++
+		return
+	}
 	names := keyNames(known)
 	if slices.Contains(names, anyName) {
 		r.add(e.line, fmt.Sprintf("%q is no name", brief(e.name)), nameRemedy)
