--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -1,7 +1,7 @@
 // Package conf reads and checks settings: the process file of an entry process, the team files that
 // describe services, and the deployment file that describes a whole user to load tools.
 //
-// Files are INI text with kebab-case names. One table of keys (see Settings) is the source for
+// Files are INI text with kebab-case names. One table of keys (see Reference) is the source for
 // parsing, defaults, bounds and the reference page docs/settings.md. The same checker runs for
 // `samphiredrum check`, at start, and before a configuration is accepted, so a file that passes one
 // of them passes all.
