Close the listener of a stand-in that is stopped before it serves

fasthttp's Shutdown does nothing before Serve has begun, so Stop and Kill right after Start waited for ever. The tests of package back hung on it.

--- a/internal/stand/stand.go
+++ b/internal/stand/stand.go
@@ -97,7 +97,10 @@
 func (e *endpoint) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	// The listener is closed in any case; an error says that calls were still in progress.
+	// Shutdown does nothing where run has not reached Serve yet, so the listener is closed first:
+	// Serve then returns at once. An error would only say that it is closed already.
+	_ = e.listener.Close()
+	// An error says that calls were still in progress after stopTimeout.
 	_ = e.server.ShutdownWithContext(ctx)
 	e.group.Wait()
 }
