--- a/internal/stand/serve.go
+++ b/internal/stand/serve.go
@@ -11,6 +11,8 @@
 	"github.com/valyala/fasthttp"
 )
 
+const emptyAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
 func (b *Backend) serve(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
@@ -139,12 +141,22 @@
 }
 
 // serveFault changes the faults that the body names and leaves the others. A freeze in progress is
-// not repeated unless the body names it. The faults take effect once the answer has been written,
-// so that a freeze does not hold its own answer back.
+// not repeated unless the body names it. A freeze begins right after the answer has been written,
+// so that it does not hold its own answer back.
 func (b *Backend) serveFault(ctx *fasthttp.RequestCtx) {
 	fault := b.Fault()
 	fault.FreezeMs = 0
-	if readJSON(ctx, &fault) {
-		ctx.Hijack(func(net.Conn) { b.SetFault(fault) })
+	if !readJSON(ctx, &fault) {
+		return
 	}
+	if fault.FreezeMs == 0 {
+		b.SetFault(fault)
+		return
+	}
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) {
+		// An error means that the client has gone; the freeze begins all the same.
+		_, _ = c.Write([]byte(emptyAnswer))
+		b.SetFault(fault)
+	})
 }
