--- a/internal/stand/job.go
+++ b/internal/stand/job.go
@@ -55,9 +55,10 @@
 		return reason, ""
 	}
 	outcome = RunRunning
-	for left := j.work; outcome == RunRunning; left -= workStep {
-		j.pause(min(left, workStep))
-		outcome = b.step(j, left <= workStep)
+	for left := j.work; outcome == RunRunning; {
+		// Time in which the server is frozen is not in what pause returns, except for one step.
+		left -= j.pause(min(left, workStep))
+		outcome = b.step(j, left <= 0)
 	}
 	return "", outcome
 }
@@ -220,11 +221,15 @@
 	return "not-run"
 }
 
-func (j *job) pause(d time.Duration) {
+// pause works for d or until the job is cancelled, and returns the time that it took. A busy
+// machine would otherwise add its delays to each step.
+func (j *job) pause(d time.Duration) time.Duration {
+	began := time.Now()
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-j.wake:
 	}
+	return time.Since(began)
 }
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -94,8 +94,11 @@
 	f.group.Go(func() { f.run(ctx) })
 }
 
-// Stop ends the feed and waits for its goroutine.
+// Stop ends the feed and waits for its goroutine. It does nothing before Start.
 func (f *Feed) Stop() {
+	if f.cancel == nil {
+		return
+	}
 	f.cancel()
 	f.group.Wait()
 }
