--- a/internal/store/feed_test.go
+++ b/internal/store/feed_test.go
@@ -59,7 +59,12 @@
 		v.full++
 	}
 	last := uint64(0)
+	names := map[string]bool{}
 	for _, c := range u.Changes {
+		if names[c.Name] {
+			v.faults = append(v.faults, c.Name+" is twice in an update")
+		}
+		names[c.Name] = true
 		if c.Version <= v.versions[c.Name] || c.Version < last {
 			v.faults = append(v.faults, fmt.Sprint(c.Name, " went back to ", c.Version))
 		}
@@ -94,7 +99,7 @@
 // follow starts a feed over api with short times.
 func follow(api store.API) *view {
 	feed := store.NewFeed(api, "config/", store.FeedOptions{
-		ListEvery: 300 * time.Millisecond, MaxWait: 200 * time.Millisecond, Backoff: 10 * time.Millisecond,
+		ListEvery: 100 * time.Millisecond, MaxWait: 60 * time.Millisecond, Backoff: 10 * time.Millisecond,
 	})
 	feed.Start(context.Background())
 	v := &view{versions: map[string]uint64{}, live: map[string]string{}}
@@ -170,18 +175,21 @@
 	return kept, revision, err
 }
 
-// lagging answers every other list with the list before.
+// lagging answers every third list with the list before the last.
 func lagging() func(context.Context, store.API, string) ([]store.Object, uint64, error) {
-	var objects []store.Object
-	var revision uint64
-	old := false
+	type answer struct {
+		objects  []store.Object
+		revision uint64
+	}
+	var before, last answer
+	calls := 0
 	return func(ctx context.Context, api store.API, prefix string) ([]store.Object, uint64, error) {
-		old = !old
-		if old && revision > 0 {
-			return objects, revision, nil
+		calls++
+		if calls%3 == 0 {
+			return before.objects, before.revision, nil
 		}
-		var err error
-		objects, revision, err = api.List(ctx, prefix)
+		objects, revision, err := api.List(ctx, prefix)
+		before, last = last, answer{objects, revision}
 		return objects, revision, err
 	}
 }
