Start safely where all tables were lost, and prove idleness of a server

A holding whose earlier owners are unknown is Cold until it opens. An idle answer counts only from a server that has answered steadily for the silence time: a server that thaws may answer a probe before it reads an older call.

--- a/pkg/assign/assign.go
+++ b/pkg/assign/assign.go
@@ -117,6 +117,9 @@
 	Rank int
 	// Open reports whether calls may be forwarded to the active owner.
 	Open bool
+	// Cold is set on a closed holding whose earlier owners are not known, because all tables were
+	// lost. It may not open before every lease of earlier deciders has lapsed.
+	Cold bool
 }
 
 // Owner returns the active owner, or "" where the succession is used up.
--- a/pkg/owner/decider.go
+++ b/pkg/owner/decider.go
@@ -77,6 +77,8 @@
 
 	servers map[assign.ServerID]*server
 	spans   map[assign.ServiceID][]*span
+	// sorted holds the keys of spans; services are added and never removed during a term.
+	sorted  []assign.ServiceID
 	buckets []assign.Bucket
 	// lostRecorders are the processes that lost their memory since the buckets were checked.
 	lostRecorders     map[assign.ProcessID]bool
--- a/pkg/owner/grants.go
+++ b/pkg/owner/grants.go
@@ -83,8 +83,12 @@
 	}
 }
 
+// serviceIDs returns the services with spans, sorted.
 func (d *Decider) serviceIDs() []assign.ServiceID {
-	return slices.Sorted(maps.Keys(d.spans))
+	if len(d.sorted) != len(d.spans) {
+		d.sorted = slices.Sorted(maps.Keys(d.spans))
+	}
+	return d.sorted
 }
 
 // sendRevokes tells the servers of kind grants to stop the spans that leave them, once a majority
--- a/pkg/owner/servers.go
+++ b/pkg/owner/servers.go
@@ -17,9 +17,14 @@
 	incarnation string
 	heard       time.Time
 	askedAt     time.Time
-	lost        bool
-	ended       bool
-	endedAt     time.Time
+	// idleAt is the time of the last probe that found the server idle.
+	idleAt time.Time
+	// steady is the time since which the server has answered without a pause. Calls that waited in
+	// its sockets during a pause are read within a short time after it.
+	steady  time.Time
+	lost    bool
+	ended   bool
+	endedAt time.Time
 	// gone is set where the VM no longer exists.
 	gone bool
 	// ordered is set while an operator drains the server, told while the server says that it is
@@ -86,6 +91,9 @@
 	if s == nil || s.gone || e.AskedAt.Before(s.askedAt) || s.ended && e.AskedAt.Before(s.endedAt) {
 		return
 	}
+	if s.lost || s.incarnation != e.Incarnation || now.Sub(s.heard) >= d.config.Silence {
+		s.steady = now
+	}
 	s.askedAt = e.AskedAt
 	s.told = e.Draining
 	d.meet(now, s, e.Incarnation)
@@ -94,7 +102,8 @@
 		d.record.dirty = true
 		d.act(Note{Kind: NoteServerBack, Server: s.ID})
 	}
-	if e.Idle {
+	if e.Idle && e.AskedAt.Sub(s.steady) >= d.config.Silence {
+		s.idleAt = e.AskedAt
 		d.clearRuns(s.ID, e.AskedAt)
 	}
 }
--- a/pkg/owner/spans.go
+++ b/pkg/owner/spans.go
@@ -21,9 +21,7 @@
 	// granting is set while the span is closed and its owner may be granted it.
 	granting bool
 	// asked is the first grant that names the span at this rank, 0 before.
-	asked uint64
-	// after is the earliest time of the next grant, set where earlier owners are not known.
-	after  time.Time
+	asked  uint64
 	leaves []*leave
 }
 
@@ -119,7 +117,7 @@
 // tryGrant moves a closed span on where its gate is open and a majority holds it closed.
 func (d *Decider) tryGrant(now time.Time, s *span) {
 	s.leaves = slices.DeleteFunc(s.leaves, func(l *leave) bool { return d.gateOpen(now, l) })
-	if len(s.leaves) > 0 || now.Before(s.after) || !d.Held(s.closed) {
+	if len(s.leaves) > 0 || !d.coldGate(now, s) || !d.Held(s.closed) {
 		return
 	}
 	owner := d.servers[s.Owner()]
@@ -133,10 +131,29 @@
 	d.open(now, s)
 }
 
+// coldGate reports whether a span whose earlier owners are not known may be granted. Servers that
+// check nothing must all have been idle after the last lease of an earlier decider had lapsed.
+func (d *Decider) coldGate(now time.Time, s *span) bool {
+	if !s.Cold {
+		return true
+	}
+	lapsed := d.allLapsed()
+	if now.Before(lapsed) {
+		return false
+	}
+	for _, o := range d.servers {
+		if o.Service == s.service && o.Fencing == assign.None && !o.gone && o.idleAt.Before(lapsed) {
+			return false
+		}
+	}
+	return true
+}
+
 // open publishes the span as open with the next table.
 func (d *Decider) open(now time.Time, s *span) {
 	d.voluntary.opened = now
 	s.Open = true
+	s.Cold = false
 	s.used = true
 	s.granting = false
 	s.closed = 0
--- a/pkg/owner/start.go
+++ b/pkg/owner/start.go
@@ -122,11 +122,8 @@
 	d.dirty = true
 	for id, places := range r.Services {
 		for _, p := range places {
-			s := &span{Holding: assign.Holding{Place: p}, service: id}
-			if !own {
-				s.after = d.coldStart()
-			}
-			d.spans[id] = append(d.spans[id], s)
+			holding := assign.Holding{Place: p, Cold: !own}
+			d.spans[id] = append(d.spans[id], &span{Holding: holding, service: id})
 		}
 	}
 	if own {
@@ -137,8 +134,8 @@
 	}
 }
 
-// coldStart returns the time at which every lease and grant of earlier deciders has lapsed.
-func (d *Decider) coldStart() time.Time {
+// allLapsed returns the time at which every lease and grant of earlier deciders has lapsed.
+func (d *Decider) allLapsed() time.Time {
 	longest := max(d.config.ServingLease, d.config.Grant)
 	given := d.assumed(longest)
 	return given.Expires()
