--- a/pkg/assign/balance.go
+++ b/pkg/assign/balance.go
@@ -6,9 +6,13 @@
 	"slices"
 )
 
-// tolerated is the load of the busiest server over the mean up to which Rebalance leaves spans
-// where they are. Moving for less costs more unavailable time than it gains.
-const tolerated = 1.15
+// Rebalance leaves spans where they are while the busiest server has at most tolerated times the
+// mean load and the idlest at least neglected times. Moving for less costs more unavailable time than
+// it gains; a server that has just joined is below.
+const (
+	tolerated = 1.15
+	neglected = 0.5
+)
 
 // Rebalance returns the plan of Repair with further moves from busy to idle servers, up to budget,
 // a share of the hash space. Load gives the load of each span; where it is empty, the width of the
@@ -90,7 +94,8 @@
 // within the budget makes the busier of the two less busy.
 func (b *balance) step(budget *float64) bool {
 	busy, idle, ok := b.extremes()
-	if !ok || b.server[busy] <= b.mean*tolerated {
+	even := b.server[busy] <= b.mean*tolerated && b.server[idle] >= b.mean*neglected
+	if !ok || even {
 		return false
 	}
 	i, ok := b.best(busy, idle, *budget)
--- a/pkg/assign/initial.go
+++ b/pkg/assign/initial.go
@@ -69,7 +69,15 @@
 	servers []Server
 	domain  map[ServerID]string
 	owned   map[ServerID]int
-	named   map[ServerID]int
+	named   map[naming]int
+}
+
+// naming counts how often a server is the successor at a position: for all spans, where owner is
+// empty, or for those of one owner. The latter spreads the load of a lost server.
+type naming struct {
+	owner    ServerID
+	position int
+	server   ServerID
 }
 
 func newChoice(servers []Server) *choice {
@@ -77,7 +85,7 @@
 		servers: servers,
 		domain:  make(map[ServerID]string, len(servers)),
 		owned:   make(map[ServerID]int, len(servers)),
-		named:   make(map[ServerID]int, len(servers)),
+		named:   make(map[naming]int, len(servers)),
 	}
 	for _, s := range servers {
 		c.domain[s.ID] = s.FailureDomain
@@ -98,15 +106,29 @@
 		if !ok {
 			break
 		}
-		c.named[next]++
+		c.name(owners, next)
 		owners = append(owners, next)
 	}
 	return owners
 }
 
+// name notes that id follows owners.
+func (c *choice) name(owners []ServerID, id ServerID) {
+	c.named[ofOwner(owners, id)]++
+	c.named[naming{"", len(owners), id}]++
+}
+
+func ofOwner(owners []ServerID, id ServerID) naming {
+	n := naming{position: len(owners), server: id}
+	if len(owners) > 0 {
+		n.owner = owners[0]
+	}
+	return n
+}
+
 // next returns the server that is best added to owners: one of the failure domain that occurs
-// least among them, then the one least often named as a successor, then the lowest ID after the
-// last owner, so that the successors of one server are not all the same.
+// least among them, then the one that least often has this position for spans of the same owner,
+// then for all spans, then the lowest ID after the last owner.
 func (c *choice) next(owners []ServerID) (ServerID, bool) {
 	best, found := ServerID(""), false
 	for _, s := range c.servers {
@@ -121,10 +143,11 @@
 }
 
 func (c *choice) compare(owners []ServerID, a, b ServerID) int {
-	last := owners[len(owners)-1:]
+	last := owners[max(0, len(owners)-1):]
 	return cmp.Or(
 		cmp.Compare(c.shared(owners, a), c.shared(owners, b)),
-		cmp.Compare(c.named[a], c.named[b]),
+		cmp.Compare(c.named[ofOwner(owners, a)], c.named[ofOwner(owners, b)]),
+		cmp.Compare(c.named[naming{"", len(owners), a}], c.named[naming{"", len(owners), b}]),
 		cmp.Compare(c.owned[a], c.owned[b]),
 		cmp.Compare(before(a, last), before(b, last)),
 		cmp.Compare(a, b),
--- a/pkg/assign/repair.go
+++ b/pkg/assign/repair.go
@@ -28,7 +28,7 @@
 	return owners
 }
 
-// Repair returns places whose successors are usable servers, and moves the spans whose owner is
+// Repair returns places whose successors are usable servers, as far as there are enough, and moves the spans whose owner is
 // not usable: draining or not in servers. No other span moves. An open holding is stored from its
 // active owner on. A closed one keeps its list, because servers of earlier ranks may still run
 // calls; it is extended where no later owner is usable.
@@ -37,7 +37,8 @@
 	plan := Plan{Places: make([]Place, len(holdings))}
 	for i, h := range holdings {
 		plan.Places[i] = r.place(h)
-		if h.Open && !r.usable(h.Owner()) && len(plan.Places[i].Owners) > 1 {
+		owners := plan.Places[i].Owners
+		if h.Open && !r.usable(h.Owner()) && len(owners) > 1 && r.usable(owners[1]) {
 			plan.Moves = append(plan.Moves, i)
 		}
 	}
@@ -56,12 +57,13 @@
 
 // count adds the owner and the successors of a holding to the spread.
 func (c *choice) count(h Holding) {
-	for rank := h.Rank; rank < len(h.Owners); rank++ {
-		if rank == h.Rank {
-			c.owned[h.Owners[rank]]++
-		} else {
-			c.named[h.Owners[rank]]++
-		}
+	if h.Rank >= len(h.Owners) {
+		return
+	}
+	owners := h.Owners[h.Rank:]
+	c.owned[owners[0]]++
+	for i := 1; i < len(owners); i++ {
+		c.name(owners[:i], owners[i])
 	}
 }
 
@@ -80,7 +82,19 @@
 			owners = append(owners, id)
 		}
 	}
-	return Place{Span: h.Span, Owners: r.choice.succession(owners), Base: h.Fence()}
+	owners = r.keep(r.choice.succession(owners), h.Owners[h.Rank+1:])
+	return Place{Span: h.Span, Owners: owners, Base: h.Fence()}
+}
+
+// keep appends earlier successors that are not usable now, where there are too few that are: they
+// may return while nothing can be stored.
+func (r repair) keep(owners, earlier []ServerID) []ServerID {
+	for _, id := range earlier {
+		if len(owners) <= Successors && !slices.Contains(owners, id) {
+			owners = append(owners, id)
+		}
+	}
+	return owners
 }
 
 // extended returns the place of a closed holding.
--- a/pkg/owner/simfault_test.go
+++ b/pkg/owner/simfault_test.go
@@ -55,7 +55,7 @@
 	length := s.between(50*time.Millisecond, 3500*time.Millisecond)
 	p := s.procs[s.rng.IntN(len(s.procs))]
 	v := s.servers[s.rng.IntN(len(s.servers))]
-	switch s.rng.IntN(15) {
+	switch s.rng.IntN(16) {
 	case 0:
 		s.cutLink(string(p.id), string(v.id), length)
 	case 1:
@@ -81,7 +81,9 @@
 	case 13:
 		s.tangle(p, v, length)
 	case 14:
-		if s.chance(0.1) {
+		s.island(p, v)
+	case 15:
+		if s.chance(0.25) {
 			s.forget(termLen + 60*time.Millisecond)
 		}
 	}
@@ -144,6 +146,36 @@
 	})
 }
 
+// island restarts a process and cuts it and the leader from all others but each other; a server is
+// drained when another decider has started.
+func (s *simulation) island(p *proc, v *simServer) {
+	l := s.leader
+	if l == nil || l == p {
+		return
+	}
+	s.restartProcess(p, s.between(0, 50*time.Millisecond))
+	for _, o := range s.procs {
+		for _, inside := range []*proc{p, l} {
+			if o != p && o != l {
+				s.cutBoth(string(inside.id), string(o.id), 2500*time.Millisecond)
+			}
+		}
+	}
+	s.after(s.between(1100*time.Millisecond, 2*time.Second), func() {
+		if s.faults {
+			s.drain(v, 2*time.Second)
+		}
+	})
+}
+
+func (s *simulation) cutBoth(a, b string, length time.Duration) {
+	s.log("cut %s - %s for %v", a, b, length)
+	for _, l := range [][2]string{{a, b}, {b, a}} {
+		s.cut[l] = true
+		s.after(length, func() { delete(s.cut, l) })
+	}
+}
+
 func (s *simulation) killServer(v *simServer, length time.Duration) {
 	if !v.up {
 		return
