--- a/pkg/owner/simfault_test.go
+++ b/pkg/owner/simfault_test.go
@@ -55,7 +55,7 @@
 	length := s.between(50*time.Millisecond, 3500*time.Millisecond)
 	p := s.procs[s.rng.IntN(len(s.procs))]
 	v := s.servers[s.rng.IntN(len(s.servers))]
-	switch s.rng.IntN(13) {
+	switch s.rng.IntN(16) {
 	case 0:
 		s.cutLink(string(p.id), string(v.id), length)
 	case 1:
@@ -78,6 +78,14 @@
 		s.drain(v, length)
 	case 12:
 		s.skewLoad()
+	case 13:
+		s.tangle(p, v, length)
+	case 14:
+		s.island(p, v)
+	case 15:
+		if s.chance(0.25) {
+			s.forget(termLen + 60*time.Millisecond)
+		}
 	}
 }
 
@@ -107,8 +115,8 @@
 
 // restartProcess keeps to the tolerated loss: all other electors still have their tables.
 func (s *simulation) restartProcess(p *proc, length time.Duration) {
-	for _, e := range s.electors() {
-		if e != p && (!e.up || e.follower.Table() == nil) {
+	for _, e := range s.voting() {
+		if e != p && (!e.up || !e.recovered) {
 			return
 		}
 	}
@@ -124,6 +132,50 @@
 	})
 }
 
+// tangle restarts a process and, when it may just have got its first lease, cuts it from the others,
+// changes the decider and drains a server.
+func (s *simulation) tangle(p *proc, v *simServer, length time.Duration) {
+	s.restartProcess(p, s.between(0, 50*time.Millisecond))
+	s.after(s.between(100*time.Millisecond, 600*time.Millisecond), func() {
+		if !s.faults {
+			return
+		}
+		s.isolate(p, length)
+		s.resign()
+		s.drain(v, length)
+	})
+}
+
+// island restarts a process and cuts it and the leader from all others but each other; a server is
+// drained when another decider has started.
+func (s *simulation) island(p *proc, v *simServer) {
+	l := s.leader
+	if l == nil || l == p {
+		return
+	}
+	s.restartProcess(p, s.between(0, 50*time.Millisecond))
+	for _, o := range s.procs {
+		for _, inside := range []*proc{p, l} {
+			if o != p && o != l {
+				s.cutBoth(string(inside.id), string(o.id), 2500*time.Millisecond)
+			}
+		}
+	}
+	s.after(s.between(1100*time.Millisecond, 2*time.Second), func() {
+		if s.faults {
+			s.drain(v, 2*time.Second)
+		}
+	})
+}
+
+func (s *simulation) cutBoth(a, b string, length time.Duration) {
+	s.log("cut %s - %s for %v", a, b, length)
+	for _, l := range [][2]string{{a, b}, {b, a}} {
+		s.cut[l] = true
+		s.after(length, func() { delete(s.cut, l) })
+	}
+}
+
 func (s *simulation) killServer(v *simServer, length time.Duration) {
 	if !v.up {
 		return
@@ -206,8 +258,8 @@
 			v.kill(false)
 		}
 	}
-	for _, e := range s.electors() {
-		if e.follower.Table() == nil {
+	for _, e := range s.voting() {
+		if !e.recovered {
 			return
 		}
 	}
