--- /dev/null
+++ b/internal/scene/deploy.go
@@ -0,0 +1,262 @@
+package scene
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphiredrum/samphiredrum/internal/conf"
+	"github.com/samphiredrum/samphiredrum/internal/peer"
+	"github.com/samphiredrum/samphiredrum/internal/store"
+	"github.com/samphiredrum/samphiredrum/pkg/assign"
+)
+
+// deployment is a whole user as processes. It belongs to the goroutine of the scenario.
+type deployment struct {
+	programs Programs
+	folder   string
+	settings *settings
+	// relays is nil where the scenario cuts no links.
+	relays   *relays
+	store    *store.Client
+	platform *process
+	entries  map[assign.ProcessID]*entryProcess
+	servers  map[assign.ServerID]*serverProcess
+}
+
+// entryProcess is one entry process.
+type entryProcess struct {
+	*process
+	settings conf.Process
+	// link asks the process for its state, without a relay.
+	link *peer.Link
+	// stalled counts the pauses and cuts in force.
+	stalled int
+}
+
+// serverProcess is one backend server.
+type serverProcess struct {
+	*process
+	server  assign.Server
+	service *conf.Service
+	// killed are the times of its losses.
+	killed []time.Time
+}
+
+// newDeployment writes the settings and starts every process. The processes that were started are
+// in the result also where there is an error.
+func newDeployment(ctx context.Context, start Start, cuts bool, o Options) (*deployment, error) {
+	d := &deployment{
+		programs: o.Programs,
+		folder:   o.Folder,
+		entries:  make(map[assign.ProcessID]*entryProcess),
+		servers:  make(map[assign.ServerID]*serverProcess),
+	}
+	if cuts {
+		d.relays = newRelays()
+	}
+	var err error
+	if d.settings, err = writeSettings(start, d.folder, d.relays); err != nil {
+		return d, err
+	}
+	if err := d.startPlatform(ctx); err != nil {
+		return d, err
+	}
+	for _, service := range d.settings.services() {
+		for _, server := range service.Servers {
+			d.servers[server.ID] = &serverProcess{server: server, service: service}
+			if err := d.startServer(ctx, server.ID); err != nil {
+				return d, err
+			}
+		}
+	}
+	for _, p := range d.settings.processes {
+		d.entries[p.Name] = &entryProcess{settings: p, link: peer.NewLink(p.PeerAddress)}
+		if err := d.startEntry(p.Name); err != nil {
+			return d, err
+		}
+	}
+	return d, nil
+}
+
+// startPlatform starts the platform and stores the configuration of the teams.
+func (d *deployment) startPlatform(ctx context.Context) error {
+	p, err := startProcess(d.folder, "platform", d.programs.StandIn, "platform",
+		"--address", d.settings.platform.String(), "--writes", "300", "--reads", "2000")
+	if err != nil {
+		return err
+	}
+	d.platform = p
+	if err := d.awaitListening(ctx, p, d.settings.platform); err != nil {
+		return err
+	}
+	d.store = store.NewClient(d.settings.platform, store.Options{})
+	for _, name := range slices.Sorted(maps.Keys(d.settings.texts)) {
+		if _, err := d.store.Put(ctx, "config/"+name, []byte(d.settings.texts[name]), 0); err != nil {
+			return ErrRun.Wrap(err, "look at platform.log in %s", d.folder)
+		}
+	}
+	return nil
+}
+
+func (d *deployment) startServer(ctx context.Context, id assign.ServerID) error {
+	s := d.servers[id]
+	p, err := startProcess(d.folder, string(id), d.programs.StandIn, "backend",
+		"--name", string(id),
+		"--service", string(s.service.ID),
+		"--address", s.server.Address.String(),
+		"--fencing", s.service.Fencing.String(),
+		"--slots", fmt.Sprint(s.service.Slots),
+		"--connections", fmt.Sprint(s.service.Connections),
+		"--history", d.historyFile(id))
+	if err != nil {
+		return err
+	}
+	s.process = p
+	return d.awaitListening(ctx, p, s.server.Address)
+}
+
+func (d *deployment) historyFile(id assign.ServerID) string {
+	return filepath.Join(d.folder, string(id)+".history")
+}
+
+func (d *deployment) startEntry(name assign.ProcessID) error {
+	p, err := startProcess(d.folder, string(name), d.programs.Samphiredrum, "serve", d.settings.files[name])
+	if err == nil {
+		d.entries[name].process = p
+	}
+	return err
+}
+
+// awaitListening waits until a process accepts connections.
+func (d *deployment) awaitListening(ctx context.Context, p *process, address netip.AddrPort) error {
+	return await(ctx, func() (bool, error) {
+		if !p.alive() {
+			return false, ErrRun.New("%s has ended at its start; look at %s.log in %s", p.name, p.name, d.folder)
+		}
+		c, err := net.DialTimeout("tcp", address.String(), lookTime)
+		if err != nil {
+			return false, nil
+		}
+		c.Close()
+		return true, nil
+	})
+}
+
+// close ends every process that was started, and the relays.
+func (d *deployment) close() {
+	for _, e := range d.entries {
+		if e.process != nil {
+			e.kill()
+		}
+		e.link.Close()
+	}
+	for _, s := range d.servers {
+		if s.process != nil {
+			s.kill()
+		}
+	}
+	if d.store != nil {
+		d.store.Close()
+	}
+	if d.platform != nil {
+		d.platform.kill()
+	}
+	if d.relays != nil {
+		d.relays.close()
+	}
+}
+
+// killEntry ends an entry process, killServer a backend server.
+func (d *deployment) killEntry(name assign.ProcessID) {
+	d.entries[name].kill()
+}
+
+func (d *deployment) killServer(id assign.ServerID) {
+	s := d.servers[id]
+	s.killed = append(s.killed, s.kill())
+}
+
+// pause stops or continues an entry process.
+func (d *deployment) pause(name assign.ProcessID, on bool) {
+	if on {
+		d.entries[name].signal(syscall.SIGSTOP)
+		return
+	}
+	d.entries[name].signal(syscall.SIGCONT)
+}
+
+// fault posts a fault or a list to a stand-in.
+func (d *deployment) fault(address netip.AddrPort, path, body string) error {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + address.String() + path)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.SetConnectionClose()
+	request.SetBodyString(body)
+	if err := fasthttp.DoTimeout(request, response, patience); err != nil {
+		return ErrRun.Wrap(err, "the stand-in at %s takes no fault; look at the logs in %s", address, d.folder)
+	}
+	return nil
+}
+
+// leave marks a server as leaving in the list of VMs.
+func (d *deployment) leave(id assign.ServerID) error {
+	body := fmt.Sprintf(`{"vms":[{"name":%q,"address":%q,"role":"backend","service":%q,"failure-domain":%q,"state":"leaving"}]}`,
+		id, d.servers[id].server.Address, d.servers[id].service.ID, d.servers[id].server.FailureDomain)
+	return d.fault(d.settings.platform, "/stand/vms", body)
+}
+
+// running returns the entry processes that have not ended, in order.
+func (d *deployment) running() []*entryProcess {
+	var list []*entryProcess
+	for _, name := range d.settings.names() {
+		if e := d.entries[name]; e.alive() {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// reachable returns the running entry processes that are neither paused nor cut off.
+func (d *deployment) reachable() []*entryProcess {
+	return slices.DeleteFunc(d.running(), func(e *entryProcess) bool { return e.stalled > 0 })
+}
+
+// await asks until the condition holds, at most for the patience of the package.
+func await(ctx context.Context, holds func() (bool, error)) error {
+	deadline := time.Now().Add(patience)
+	for {
+		ok, err := holds()
+		if ok || err != nil {
+			return err
+		}
+		if time.Now().After(deadline) {
+			return ErrRun.New("it did not happen in %s", patience)
+		}
+		if err := sleep(ctx, lookInterval); err != nil {
+			return err
+		}
+	}
+}
+
+// sleep waits, and returns an error where the context ends before.
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ErrRun.New("the scenario took too long; keep it smaller, or give the test more time")
+	}
+}
--- /dev/null
+++ b/internal/scene/words.go
@@ -0,0 +1,141 @@
+package scene
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/samphiredrum/samphiredrum/internal/audit"
+)
+
+// Bounds of the numbers in a scenario. They keep the number of processes of a scenario under 60.
+const (
+	maxEntries = 11
+	maxServers = 20
+	maxCallers = 200
+	// maxProcesses bounds the processes of a deployment, the platform included.
+	maxProcesses = 59
+	// maxLength bounds the times in a scenario.
+	maxLength = time.Minute
+)
+
+// words are the words of one line. The first fault is kept; what is read afterwards has no meaning.
+type words struct {
+	line  Line
+	list  []string
+	fault string
+}
+
+func (w *words) fail(format string, args ...any) {
+	if w.fault == "" {
+		w.fault = fmt.Sprintf(format, args...)
+	}
+}
+
+func (w *words) more() bool {
+	return len(w.list) > 0 && w.fault == ""
+}
+
+func (w *words) next(what string) string {
+	if len(w.list) == 0 {
+		w.fail("the line ends early; add %s", what)
+		return ""
+	}
+	word := w.list[0]
+	w.list = w.list[1:]
+	return word
+}
+
+func (w *words) end() {
+	if len(w.list) > 0 {
+		w.fail("the line goes on after its statement; remove %q", strings.Join(w.list, " "))
+	}
+}
+
+func (w *words) literal(text string) {
+	if word := w.next(fmt.Sprintf("%q", text)); word != text {
+		w.fail("%q is not expected here; write %q", word, text)
+	}
+}
+
+func (w *words) oneOf(word string, names ...string) string {
+	if !slices.Contains(names, word) {
+		w.fail("%q is not known here; use one of %s", word, strings.Join(names, ", "))
+	}
+	return word
+}
+
+func (w *words) onOff() bool {
+	return w.oneOf(w.next("on or off"), "on", "off") == "on"
+}
+
+func (w *words) duration() time.Duration {
+	word := w.next("a time such as 3s or 800ms")
+	d, err := time.ParseDuration(word)
+	if err != nil || d < 0 || d > maxLength {
+		w.fail("%q is no time from 0 to %s; write it as 3s or 800ms", word, maxLength)
+	}
+	return d
+}
+
+func (w *words) number(name, text string, largest int) int {
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 || n > largest {
+		w.fail("%s is %q; use a number from 1 to %d", name, text, largest)
+	}
+	return n
+}
+
+// pair reads NAME=VALUE.
+func (w *words) pair() (string, string) {
+	word := w.next("a setting such as entries=5")
+	name, value, ok := strings.Cut(word, "=")
+	if !ok || name == "" || value == "" {
+		w.fail("%q is no setting; write it as NAME=VALUE", word)
+	}
+	return name, value
+}
+
+// target reads "entry NAME" or "server NAME".
+func (w *words) target() Target {
+	if w.oneOf(w.next("entry or server"), "entry", "server") == "entry" {
+		return w.entry()
+	}
+	return w.server()
+}
+
+// targetOf reads a target of one kind.
+func (w *words) targetOf(kind Kind) Target {
+	if kind == Entry {
+		w.literal("entry")
+		return w.entry()
+	}
+	w.literal("server")
+	return w.server()
+}
+
+func (w *words) entry() Target {
+	switch name := w.next("the name of an entry process, decider or follower"); name {
+	case "decider":
+		return Target{Kind: Entry, Decider: true}
+	case "follower":
+		return Target{Kind: Entry, Follower: true}
+	default:
+		return Target{Kind: Entry, Name: name}
+	}
+}
+
+func (w *words) server() Target {
+	name := w.next("the name of a server, or owner-of KEY")
+	if name == "owner-of" {
+		return Target{Kind: Server, OwnerOf: w.next("a key")}
+	}
+	return Target{Kind: Server, Name: name}
+}
+
+// promises returns what may stand after "expect promise".
+func promises() []string {
+	return append([]string{"all"}, audit.PromiseStrings()...)
+}
