--- a/internal/scene/look.go
+++ b/internal/scene/look.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphiredrum/samphiredrum/internal/admin"
 	"github.com/samphiredrum/samphiredrum/internal/peer"
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 	"github.com/samphiredrum/samphiredrum/pkg/event"
@@ -112,7 +113,11 @@
 func (d *deployment) started(ctx context.Context) bool {
 	for _, e := range d.running() {
 		s, ok := e.state(ctx)
-		if !ok || s.Table == nil || len(s.Table.Buckets) == 0 || !allOpen(s.Table) || !e.ready() {
+		if !ok || s.Table == nil || !allOpen(s.Table) || !e.ready() {
+			return false
+		}
+		status, err := admin.NewClient(e.settings.AdminAddress).Status()
+		if err != nil || !status.Recording {
 			return false
 		}
 	}
--- a/internal/scene/parse.go
+++ b/internal/scene/parse.go
@@ -24,7 +24,7 @@
 	"restart": func(w *words) Statement { return Restart{w.line, w.target()} },
 	"freeze":  func(w *words) Statement { return Freeze{w.line, w.targetOf(Server), w.duration()} },
 	"pause":   func(w *words) Statement { return Pause{w.line, w.targetOf(Entry), w.duration()} },
-	"drain":   func(w *words) Statement { return Drain{w.line, w.targetOf(Server)} },
+	"drain":   parseDrain,
 	"stop":    func(w *words) Statement { return Stop{w.line, w.targetOf(Entry)} },
 	"cut":     parseCut,
 	"store":   parseStore,
@@ -141,6 +141,16 @@
 	return s
 }
 
+func parseDrain(w *words) Statement {
+	s := Drain{Line: w.line, Target: w.targetOf(Server)}
+	if w.more() {
+		w.literal("by")
+		w.literal("operator")
+		s.ByOperator = true
+	}
+	return s
+}
+
 func parseStore(w *words) Statement {
 	switch w.oneOf(w.next("a fault of the store"), "down", "slow", "lose-answers", "stall-watches") {
 	case "down":
--- a/internal/scene/run.go
+++ b/internal/scene/run.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
 	"github.com/samphiredrum/samphiredrum/internal/audit"
+	"github.com/samphiredrum/samphiredrum/internal/caller"
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 )
 
@@ -202,13 +205,20 @@
 // summarize prints how often each outcome was told.
 func (r *runner) summarize(attempts []audit.Attempt) {
 	counts := make(map[string]int)
+	reasons := make(map[string]int)
 	bookings := make(map[string]bool)
 	for _, a := range attempts {
 		counts[a.Outcome]++
+		if a.Outcome != caller.Ran {
+			reasons[a.Outcome+": "+a.Reason]++
+		}
 		if a.Booking != "" {
 			bookings[a.Booking] = true
 		}
 	}
 	r.print(0, "event=ended calls=%d ran=%d not-run=%d unknown=%d bookings=%d runs=%d",
-		len(attempts), counts["ran"], counts["not-run"], counts["unknown"], len(bookings), r.result.Runs)
+		len(attempts), counts[caller.Ran], counts[caller.NotRun], counts[caller.Unknown], len(bookings), r.result.Runs)
+	for _, reason := range slices.Sorted(maps.Keys(reasons)) {
+		r.print(0, "event=told calls=%d outcome-and-reason=%q", reasons[reason], reason)
+	}
 }
--- a/internal/scene/statement.go
+++ b/internal/scene/statement.go
@@ -100,6 +100,8 @@
 type Drain struct {
 	Line
 	Target Target
+	// ByOperator orders the drain through the admin address of an entry process instead.
+	ByOperator bool
 }
 
 // Stop begins the planned stop of an entry process with SIGTERM, and waits for its end.
--- a/internal/scene/step.go
+++ b/internal/scene/step.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/samphiredrum/samphiredrum/internal/admin"
 	"github.com/samphiredrum/samphiredrum/internal/caller"
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 )
@@ -42,9 +44,9 @@
 	case Stop:
 		return r.stopEntry(ctx, s)
 	case ConfigSet:
-		return r.configure(ctx, s, s.Team, s.Key, s.Value)
+		return r.configure(s, s.Team, s.Key, s.Value)
 	case ConfigRace:
-		return r.configure(ctx, s, s.Team, s.Key, s.Values[0], s.Values[1])
+		return r.configure(s, s.Team, s.Key, s.Values[0], s.Values[1])
 	case WaitServed:
 		return r.waitServed(ctx, s)
 	case Settle:
@@ -250,8 +252,15 @@
 		return err
 	}
 	r.drained[string(id)] = time.Now()
-	r.print(s.at(), "event=leaving server=%s", id)
-	return r.deployment.leave(id)
+	r.print(s.at(), "event=leaving server=%s by-operator=%t", id, s.ByOperator)
+	if !s.ByOperator {
+		return r.deployment.leave(id)
+	}
+	e, err := r.entry(ctx, Target{Kind: Entry, Follower: true})
+	if err != nil {
+		return err
+	}
+	return admin.NewClient(e.settings.AdminAddress).DrainServer(string(id), false)
 }
 
 // stopEntry begins a planned stop and waits for its end. The balancer sends no new calls to the
@@ -271,46 +280,46 @@
 	return nil
 }
 
-// configure lets one or two operators change a setting. All of them read before any writes.
-func (r *runner) configure(ctx context.Context, s Statement, team, key string, values ...string) error {
+// configure lets one or two operators change a setting, through two processes where there are two.
+// All of them read before any writes.
+func (r *runner) configure(s Statement, team, key string, values ...string) error {
+	through := r.deployment.reachable()
+	if len(through) == 0 {
+		return ErrRun.New("no entry process can be reached; end pauses and cuts before a change of the configuration")
+	}
 	var operators []*operator
 	var group conc.WaitGroup
-	for _, value := range values {
-		o := &operator{ctx: ctx, deployment: r.deployment, team: team, key: key, value: value}
-		if err := o.read(); err != nil {
-			o.end(refused, err.Error())
-		}
+	for i, value := range values {
+		o := newOperator(through[i%len(through)].settings.AdminAddress, team, key, value)
+		o.read()
 		operators = append(operators, o)
 	}
 	for _, o := range operators {
-		if o.verdict == "" {
-			group.Go(o.run)
-		}
+		group.Go(o.run)
 	}
 	group.Wait()
 	last := operators[0]
-	won := 0
 	for _, o := range operators {
 		r.print(s.at(), "event=configuration team=%s key=%s value=%s verdict=%s detail=%q", team, key, o.value, o.verdict, o.detail)
 		if o.verdict == accepted {
 			last = o
-			won++
 		}
 	}
 	r.changes[team] = last
 	if len(operators) > 1 {
-		r.checkRace(s, operators, won)
+		r.checkRace(s, operators[0], operators[1])
 	}
 	return nil
 }
 
 // checkRace checks that one operator won, and that the other was told the version it lost against.
-func (r *runner) checkRace(s Statement, operators []*operator, won int) {
-	a, b := operators[0], operators[1]
-	told := a.verdict == lost || b.verdict == lost
-	if won != 1 || !told || a.version != b.version {
-		r.fail(s, "two operators ended as %s (version %d) and %s (version %d); want one accepted and one lost against it",
-			a.verdict, a.version, b.verdict, b.version)
+func (r *runner) checkRace(s Statement, a, b *operator) {
+	if a.verdict == lost {
+		a, b = b, a
+	}
+	if a.verdict != accepted || b.verdict != lost || !strings.Contains(b.detail, fmt.Sprintf("version %d", a.version)) {
+		r.fail(s, "two operators ended as %s (%s) and %s (%s); want one accepted and one told the version it lost against",
+			a.verdict, a.detail, b.verdict, b.detail)
 	}
 }
 
