--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -18,8 +18,10 @@
 	// Gate bounds and orders the calls to it.
 	Gate *limit.Gate
 
-	mu          sync.Mutex
-	clock       *lease.ServerClock
+	mu    sync.Mutex
+	clock *lease.ServerClock
+	// observedAt is when the answer of the last reading arrived.
+	observedAt  time.Time
 	incarnation string
 	unresolved  []unresolved
 }
@@ -45,10 +47,15 @@
 			s.clock = s.clock.Reset()
 		}
 		s.incarnation = receipt.Incarnation
+		s.observedAt = time.Time{}
 		s.resolve(receipt.Incarnation)
 	}
-	if !receipt.ServerClock.IsZero() {
+	// Answers of concurrent calls arrive in any order. Only a request that was sent after the last
+	// reading had arrived tells whether the server's clock has gone back. Sent is a reading of Latest,
+	// which may be ahead; a reading is then compared that could have been skipped, which is safe.
+	if !receipt.ServerClock.IsZero() && !receipt.Trip.Sent.Before(s.observedAt) {
 		s.clock.Observe(receipt.Trip.Answered, receipt.ServerClock)
+		s.observedAt = receipt.Trip.Answered
 	}
 }
 
--- a/internal/scene/deploy.go
+++ b/internal/scene/deploy.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -31,6 +32,8 @@
 	platform *process
 	entries  map[assign.ProcessID]*entryProcess
 	servers  map[assign.ServerID]*serverProcess
+	// leaving are the servers that the list of VMs shows as leaving.
+	leaving []assign.ServerID
 }
 
 // entryProcess is one entry process.
@@ -74,11 +77,16 @@
 	for _, service := range d.settings.services() {
 		for _, server := range service.Servers {
 			d.servers[server.ID] = &serverProcess{server: server, service: service}
-			if err := d.startServer(ctx, server.ID); err != nil {
+			if err := d.startServer(server.ID); err != nil {
 				return d, err
 			}
 		}
 	}
+	for _, s := range d.servers {
+		if err := d.awaitListening(ctx, s.process, s.server.Address); err != nil {
+			return d, err
+		}
+	}
 	for _, p := range d.settings.processes {
 		d.entries[p.Name] = &entryProcess{settings: p, link: peer.NewLink(p.PeerAddress)}
 		if err := d.startEntry(p.Name); err != nil {
@@ -108,7 +116,7 @@
 	return nil
 }
 
-func (d *deployment) startServer(ctx context.Context, id assign.ServerID) error {
+func (d *deployment) startServer(id assign.ServerID) error {
 	s := d.servers[id]
 	p, err := startProcess(d.folder, string(id), d.programs.StandIn, "backend",
 		"--name", string(id),
@@ -122,7 +130,7 @@
 		return err
 	}
 	s.process = p
-	return d.awaitListening(ctx, p, s.server.Address)
+	return nil
 }
 
 func (d *deployment) historyFile(id assign.ServerID) string {
@@ -202,19 +210,27 @@
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI("http://" + address.String() + path)
 	request.Header.SetMethod(fasthttp.MethodPost)
-	request.Header.SetConnectionClose()
 	request.SetBodyString(body)
-	if err := fasthttp.DoTimeout(request, response, patience); err != nil {
+	// A stand-in drops the fault of a request with "Connection: close", so the connection is closed
+	// afterwards.
+	client := &fasthttp.Client{}
+	defer client.CloseIdleConnections()
+	if err := client.DoTimeout(request, response, patience); err != nil {
 		return ErrRun.Wrap(err, "the stand-in at %s takes no fault; look at the logs in %s", address, d.folder)
 	}
 	return nil
 }
 
-// leave marks a server as leaving in the list of VMs.
+// leave adds a server to those that leave in the list of VMs.
 func (d *deployment) leave(id assign.ServerID) error {
-	body := fmt.Sprintf(`{"vms":[{"name":%q,"address":%q,"role":"backend","service":%q,"failure-domain":%q,"state":"leaving"}]}`,
-		id, d.servers[id].server.Address, d.servers[id].service.ID, d.servers[id].server.FailureDomain)
-	return d.fault(d.settings.platform, "/stand/vms", body)
+	d.leaving = append(d.leaving, id)
+	entries := make([]string, len(d.leaving))
+	for i, id := range d.leaving {
+		s := d.servers[id]
+		entries[i] = fmt.Sprintf(`{"name":%q,"address":%q,"role":"backend","service":%q,"failure-domain":%q,"state":"leaving"}`,
+			id, s.server.Address, s.service.ID, s.server.FailureDomain)
+	}
+	return d.fault(d.settings.platform, "/stand/vms", `{"vms":[`+strings.Join(entries, ",")+`]}`)
 }
 
 // running returns the entry processes that have not ended, in order.
--- a/internal/scene/look.go
+++ b/internal/scene/look.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -32,6 +33,16 @@
 	return err == nil && response.StatusCode() == http.StatusOK
 }
 
+// answers reports whether a backend server answers within the time of a look.
+func answers(address netip.AddrPort) bool {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + address.String() + "/control/health")
+	request.Header.SetConnectionClose()
+	return fasthttp.DoTimeout(request, response, lookTime) == nil
+}
+
 // leads returns the highest term that the process won and has not lost, 0 for none.
 func (e *entryProcess) leads(ctx context.Context) uint64 {
 	ctx, cancel := context.WithTimeout(ctx, lookTime)
@@ -113,7 +124,7 @@
 func (d *deployment) started(ctx context.Context) bool {
 	for _, e := range d.running() {
 		s, ok := e.state(ctx)
-		if !ok || s.Table == nil || !allOpen(s.Table) || !e.ready() {
+		if !ok || s.Table == nil || !allOpen(s.Table) || !recorded(s.Table) || !e.ready() {
 			return false
 		}
 		status, err := admin.NewClient(e.settings.AdminAddress).Status()
@@ -124,6 +135,17 @@
 	return true
 }
 
+// recorded reports whether the runs of all recorders are known. Before that, which is up to two
+// seconds in a new cell, no booking can be reserved.
+func recorded(t *assign.Table) bool {
+	for _, b := range t.Buckets {
+		if len(b.Recorders) == 0 || len(b.Incarnations) != len(b.Recorders) {
+			return false
+		}
+	}
+	return len(t.Buckets) > 0
+}
+
 func allOpen(t *assign.Table) bool {
 	for _, holdings := range t.Services {
 		for _, h := range holdings {
--- a/internal/scene/step.go
+++ b/internal/scene/step.go
@@ -152,7 +152,11 @@
 			return err
 		}
 		r.print(s.at(), "event=restarted server=%s", id)
-		return r.deployment.startServer(ctx, id)
+		if err := r.deployment.startServer(id); err != nil {
+			return err
+		}
+		restarted := r.deployment.servers[id]
+		return r.deployment.awaitListening(ctx, restarted.process, restarted.server.Address)
 	}
 	e, err := r.entry(ctx, s.Target)
 	if err != nil {
@@ -194,8 +198,15 @@
 	}
 	r.print(s.at(), "event=frozen server=%s for=%s", id, s.Length)
 	r.after(ctx, s.Length, func() {})
+	address := r.deployment.servers[id].server.Address
 	body := fmt.Sprintf(`{"freeze-ms":%d}`, s.Length.Milliseconds())
-	return r.deployment.fault(r.deployment.servers[id].server.Address, "/stand/fault", body)
+	if err := r.deployment.fault(address, "/stand/fault", body); err != nil {
+		return err
+	}
+	if answers(address) {
+		return ErrRun.New("%s answers although it was frozen; look at its log in %s", id, r.options.Folder)
+	}
+	return nil
 }
 
 func (r *runner) pause(ctx context.Context, s Pause) error {
@@ -252,6 +263,7 @@
 		return err
 	}
 	r.drained[string(id)] = time.Now()
+	r.loss = time.Now()
 	r.print(s.at(), "event=leaving server=%s by-operator=%t", id, s.ByOperator)
 	if !s.ByOperator {
 		return r.deployment.leave(id)
