--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -49,6 +49,7 @@
 type Fleet struct {
 	plan     Plan
 	log      zerolog.Logger
+	options  []node.Option
 	platform *stand.Platform
 	backends map[assign.ServerID]*stand.Backend
 	nodes    map[assign.ProcessID]*node.Node
@@ -65,6 +66,11 @@
 	return func(f *Fleet) { f.log = log }
 }
 
+// WithNode adds options to every entry process.
+func WithNode(options ...node.Option) Option {
+	return func(f *Fleet) { f.options = append(f.options, options...) }
+}
+
 // New returns a Fleet that does not run yet.
 func New(plan Plan, options ...Option) *Fleet {
 	f := &Fleet{
@@ -143,7 +149,8 @@
 }
 
 func (f *Fleet) startNode(settings conf.Process) error {
-	n := node.New(settings, node.WithLog(f.log.With().Str("process", string(settings.Name)).Logger()))
+	log := node.WithLog(f.log.With().Str("process", string(settings.Name)).Logger())
+	n := node.New(settings, append([]node.Option{log}, f.options...)...)
 	if err := n.Start(); err != nil {
 		return err
 	}
@@ -182,7 +189,10 @@
 func (f *Fleet) Stop() {
 	var group conc.WaitGroup
 	for _, name := range f.Names() {
-		group.Go(f.nodes[name].Kill)
+		// A start that failed half-way leaves out the later processes.
+		if n := f.nodes[name]; n != nil {
+			group.Go(n.Kill)
+		}
 	}
 	group.Wait()
 	for _, b := range f.backends {
