--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -95,6 +95,13 @@
 // experiments are all experiments in the order in which they run.
 var experiments = []experiment{
 	{"ownerless", ownerless},
+	{"crest", crest},
+	{"blocking", blocking},
+	{"churn", churn},
+	{"imbalance", imbalance},
+	{"cost", cost},
+	{"config", configuration},
+	{"brownout", brownout},
 }
 
 // Names returns the names of the experiments in the order in which they run.
--- a/internal/bench/ownerless.go
+++ b/internal/bench/ownerless.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -23,6 +24,9 @@
 	// freezeTime is how long a frozen server stays frozen. It is longer than the target, so that a
 	// server that thaws cannot pass for a recovery.
 	freezeTime = 6 * time.Second
+	// lapseTime is how long keys are observed after a loss at least. Every lease and grant that was
+	// given before the loss has lapsed by then, so an interruption that they delay is seen.
+	lapseTime = 3 * time.Second
 	// settleTime lets the decider store the record before the next loss.
 	settleTime = 2 * time.Second
 	// slowStore is the delay of every call to a slow store; each is over the store's time limit.
@@ -34,15 +38,16 @@
 
 // loss is a failure whose recovery is measured.
 type loss struct {
-	name            string
-	killsOwner      bool
-	freezesOwner    bool
-	killsDecider    bool
-	storeName       string
-	store           stand.PlatformFault
-	recovered       []time.Duration
-	notServedAgain  int
-	refused, failed int
+	name           string
+	killsOwner     bool
+	freezesOwner   bool
+	killsDecider   bool
+	storeName      string
+	store          stand.PlatformFault
+	recovered      []time.Duration
+	notServedAgain int
+	refused        map[string]int
+	failed         int
 }
 
 // losses returns every combination of a loss with a state of the store.
@@ -63,7 +68,7 @@
 			{name: "kill-decider", killsDecider: true},
 			{name: "kill-both", killsOwner: true, killsDecider: true},
 		} {
-			l.storeName, l.store = s.name, s.fault
+			l.storeName, l.store, l.refused = s.name, s.fault, make(map[string]int)
 			list = append(list, &l)
 		}
 	}
@@ -102,9 +107,12 @@
 		return nil
 	}
 	worst := l.recovered[len(l.recovered)-1]
-	s.print("fault=%s store=%s summary=true losses=%d keys-by-entries=%d median=%s worst=%s not-served-again=%d refused=%d failed=%d target=%s met=%t",
+	s.print("fault=%s store=%s summary=true losses=%d keys-by-entries=%d median=%s worst=%s not-served-again=%d failed=%d target=%s met=%t",
 		l.name, l.storeName, s.options.Repeats, len(l.recovered), millis(l.recovered[len(l.recovered)/2]), millis(worst),
-		l.notServedAgain, l.refused, l.failed, recoveryTarget, worst <= recoveryTarget && l.notServedAgain == 0)
+		l.notServedAgain, l.failed, recoveryTarget, worst <= recoveryTarget && l.notServedAgain == 0)
+	for _, reason := range slices.Sorted(maps.Keys(l.refused)) {
+		s.print("fault=%s store=%s refused=%d reason=%q", l.name, l.storeName, l.refused[reason], reason)
+	}
 	return nil
 }
 
@@ -127,25 +135,20 @@
 	}
 	var killed conc.WaitGroup
 	l.cause(f, id, decider, &killed)
-	s.await(recoveryLimit, func() bool { return all(probers, (*prober).isServed) })
-	took := time.Since(lost)
+	s.await(recoveryLimit, func() bool { return all(probers, (*prober).again) })
+	s.pause(max(lapseTime-time.Since(lost), lapseTime/6))
+	first, last := l.collect(probers, time.Now())
 	cancel()
 	group.Wait()
 	killed.Wait()
 	f.Platform().SetFault(stand.PlatformFault{})
-	any, every := l.collect(probers)
-	s.print("fault=%s store=%s run=%d server=%s decider=%s next-decider=%s warm=%t first-key-first-entry=%s last-key-last-entry=%s observed=%s",
-		l.name, l.storeName, n, id, decider, f.Decider(), warm, millis(any), millis(every), millis(took))
+	s.print("fault=%s store=%s run=%d server=%s decider=%s next-decider=%s warm=%t shortest=%s longest=%s",
+		l.name, l.storeName, n, id, decider, f.Decider(), warm, millis(first), millis(last))
 	if l.freezesOwner {
 		s.pause(freezeTime - time.Since(lost))
 	}
 }
 
-func (p *prober) isServed() bool {
-	_, ok := p.again()
-	return ok
-}
-
 func all(probers []*prober, holds func(*prober) bool) bool {
 	for _, p := range probers {
 		if !holds(p) {
@@ -178,24 +181,22 @@
 	k.fleet.Kill(k.name)
 }
 
-// collect adds the recovery times of the probers, and returns the first and the last.
-func (l *loss) collect(probers []*prober) (first, last time.Duration) {
+// collect adds the longest unserved time of each prober, and returns the shortest and the longest.
+func (l *loss) collect(probers []*prober, now time.Time) (shortest, longest time.Duration) {
 	for _, p := range probers {
-		_, refused, failed := p.counts()
-		l.refused += refused
-		l.failed += failed
-		d, ok := p.again()
+		l.failed += p.unserved(l.refused)
+		d, ok := p.finish(now)
 		if !ok {
 			l.notServedAgain++
 			continue
 		}
 		l.recovered = append(l.recovered, d)
-		if first == 0 || d < first {
-			first = d
+		if shortest == 0 || d < shortest {
+			shortest = d
 		}
-		last = max(last, d)
+		longest = max(longest, d)
 	}
-	return first, last
+	return shortest, longest
 }
 
 // probers returns a prober for some keys of the server through some entry processes other than the
@@ -213,9 +214,10 @@
 			}
 			entries++
 			list = append(list, &prober{
-				ctx:    ctx,
-				node:   &entryPoint{fleet: f, name: name},
-				client: client,
+				ctx:     ctx,
+				node:    &entryPoint{fleet: f, name: name},
+				client:  client,
+				refused: make(map[string]int),
 				call: caller.Call{
 					Method:    o.Method,
 					Path:      caller.Path(service, o, key),
--- a/internal/bench/probe.go
+++ b/internal/bench/probe.go
@@ -19,17 +19,23 @@
 
 // prober calls one key through one entry process at a fixed interval, without waiting for answers.
 type prober struct {
-	ctx     context.Context
-	node    *entryPoint
-	client  *caller.Client
-	call    caller.Call
-	calls   conc.WaitGroup
-	mu      sync.Mutex
+	ctx    context.Context
+	node   *entryPoint
+	client *caller.Client
+	call   caller.Call
+	calls  conc.WaitGroup
+
+	mu sync.Mutex
+	// lost is the moment of the loss, last that of the last call that ran since, longest the longest
+	// time between two of them.
 	lost    time.Time
-	served  time.Time
+	last    time.Time
+	longest time.Duration
+	served  bool
 	ran     int
 	failed  int
-	refused int
+	// refused counts the reasons of calls that were not run since the loss.
+	refused map[string]int
 }
 
 // entryPoint is the entry process that a prober uses.
@@ -72,33 +78,49 @@
 func (p *prober) answered(started time.Time, answer caller.Answer, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	since := !p.lost.IsZero() && !started.Before(p.lost)
 	switch {
-	case err != nil || answer.Outcome == caller.Unknown:
+	case answer.Outcome == caller.Ran && err == nil:
+		p.ran++
+		p.served = p.served || since
+		p.gap(time.Now())
+	case answer.Outcome == caller.NotRun && since:
+		p.refused[answer.Reason]++
+	case since:
 		p.failed++
-		return
-	case answer.Outcome == caller.NotRun:
-		p.refused++
-		return
 	}
-	p.ran++
-	if !p.lost.IsZero() && !started.Before(p.lost) && p.served.IsZero() {
-		p.served = time.Now()
+}
+
+// gap takes a moment at which the key was served, or at which the observation ended.
+func (p *prober) gap(now time.Time) {
+	if p.lost.IsZero() {
+		return
 	}
+	p.longest = max(p.longest, now.Sub(p.last))
+	p.last = now
 }
 
 // lose sets the moment of the loss.
 func (p *prober) lose(at time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lost = at
+	p.lost, p.last = at, at
+}
+
+// finish ends the observation, and returns the longest time since the loss without a call that ran.
+// It reports false where no call ran.
+func (p *prober) finish(now time.Time) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gap(now)
+	return p.longest, p.served
 }
 
-// again returns how long after the loss the key was served again. It reports false where it was
-// not.
-func (p *prober) again() (time.Duration, bool) {
+// again reports whether the key was served again.
+func (p *prober) again() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.served.Sub(p.lost), !p.served.IsZero()
+	return p.served
 }
 
 // answers reports whether any call ran.
@@ -108,11 +130,15 @@
 	return p.ran > 0
 }
 
-// counts returns how many calls ran, were refused as not run, and failed without a certain answer.
-func (p *prober) counts() (ran, refused, failed int) {
+// unserved adds the calls since the loss that were refused as not run, by reason, and returns how
+// many failed without a certain answer.
+func (p *prober) unserved(refused map[string]int) (failed int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.ran, p.refused, p.failed
+	for reason, n := range p.refused {
+		refused[reason] += n
+	}
+	return p.failed
 }
 
 // keysOf returns up to n keys owned by the server, each in another span.
--- a/internal/entry/filter.go
+++ b/internal/entry/filter.go
@@ -97,14 +97,18 @@
 // queue waits until the call may be sent to its server.
 type queue struct{ router *Router }
 
+// request returns what the queue orders the call by.
+func (q *queue) request(c *Call) limit.Request {
+	if q.router.firstCome {
+		return limit.Request{Class: limit.Short}
+	}
+	return limit.Request{Operation: c.Operation.Name, Class: q.router.class(c), Deadline: c.Deadline}
+}
+
 // Filter implements Filter.
 func (q *queue) Filter(ctx context.Context, c *Call, next Next) Result {
 	server := c.target.server
-	ticket, err := server.Gate.Acquire(ctx, limit.Request{
-		Operation: c.Operation.Name,
-		Class:     q.router.class(c),
-		Deadline:  c.Deadline,
-	})
+	ticket, err := server.Gate.Acquire(ctx, q.request(c))
 	if err != nil {
 		return overload(err)
 	}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -64,6 +64,12 @@
 	}
 }
 
+// WithFirstCome queues calls in the order of their arrival, without classes, deadlines and tokens.
+// Experiments use it as a baseline.
+func WithFirstCome() Option {
+	return func(r *Router) { r.firstCome = true }
+}
+
 // stage is a filter with its priority.
 type stage struct {
 	filter   Filter
@@ -76,6 +82,8 @@
 	tracker *Tracker
 	stages  []stage
 	first   Next
+	// firstCome switches classes, deadlines and tokens in queues off.
+	firstCome bool
 	// group holds the goroutines that outlive their call, such as late messages to recorders.
 	group conc.WaitGroup
 
--- a/internal/entry/token.go
+++ b/internal/entry/token.go
@@ -20,7 +20,7 @@
 
 // Filter implements Filter.
 func (t *token) Filter(ctx context.Context, c *Call, next Next) Result {
-	if t.router.config.Tokens == nil || t.router.class(c) != limit.Long {
+	if t.router.config.Tokens == nil || t.router.firstCome || t.router.class(c) != limit.Long {
 		return next(ctx, c)
 	}
 	left := c.Deadline.Sub(t.router.config.Clock.Now())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,7 @@
 	log         zerolog.Logger
 	api         store.API
 	dial        func(assign.Server, int) back.Server
+	routing     []entry.Option
 
 	logical  *event.Clock
 	ring     *event.Ring
@@ -98,6 +99,11 @@
 	return func(n *Node) { n.dial = dial }
 }
 
+// WithRouter adds options to the router of calls.
+func WithRouter(options ...entry.Option) Option {
+	return func(n *Node) { n.routing = append(n.routing, options...) }
+}
+
 // New returns a Node that does not run yet.
 func New(settings conf.Process, options ...Option) *Node {
 	n := &Node{
@@ -133,7 +139,7 @@
 		Recorders:   n.recorder,
 		Tokens:      n.keepers,
 		Suspect:     n.suspect,
-	})
+	}, n.routing...)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.status.Store(&Status{Process: settings.Name})
 	return n
