--- a/internal/bench/cost.go
+++ b/internal/bench/cost.go
@@ -16,6 +16,10 @@
 	halfLoad = 0.5
 	// latencyTarget is the target for the latency that an entry process adds, 99th percentile.
 	latencyTarget = time.Millisecond
+	// coresTarget and bytesTarget are the targets for the control cost of one node: 1.4% of a core
+	// and 3 KB/s.
+	coresTarget = 0.014
+	bytesTarget = 3000
 	// faultTime is how long platform calls are counted after a fault.
 	faultTime = 4 * time.Second
 )
@@ -76,6 +80,7 @@
 	allocations float64
 	bytes       float64
 	p50, p99    time.Duration
+	ran         int
 }
 
 // callRun offers a load and returns the cost of one call above that of the idle fleet.
@@ -91,6 +96,7 @@
 		bytes:       (float64(used.bytes) - share*float64(rest.bytes)) / calls,
 		p50:         t.percentile(50),
 		p99:         t.percentile(99),
+		ran:         t.ran,
 	}
 	reason, count := t.commonReason()
 	s.print("part=call run=%d way=%s rate=%.0f ran=%d of=%d cpu-per-call=%s allocations-per-call=%.1f bytes-per-call=%.0f p50=%s p99=%s cores=%.2f generator-late-p99=%s limit=%s reason=%q reason-count=%d",
@@ -100,6 +106,10 @@
 
 // compare prints what an entry process adds to a direct call.
 func (s *session) compare(name string, straight, through callFigures) {
+	if through.ran == 0 || straight.ran == 0 {
+		s.print("part=call service=%s measured=false", name)
+		return
+	}
 	added := through.p99 - straight.p99
 	s.print("part=call service=%s added-cpu=%s added-allocations=%.1f added-bytes=%.0f added-p50=%s added-p99=%s target=%s met=%t",
 		name, (through.cpu - straight.cpu).Round(time.Microsecond), through.allocations-straight.allocations,
@@ -109,15 +119,21 @@
 // controlCost measures idle fleets of several sizes, and how the cost rises with the size.
 func (s *session) controlCost() error {
 	var byProcesses, byServers []controlFigures
+	own, err := s.control(s.full())
+	if err != nil {
+		return err
+	}
+	s.print("part=control size=own cores-per-process=%.5f cores-target=%.3f met=%t bytes-per-second-per-process=%.0f bytes-target=%d met=%t",
+		own.cores, coresTarget, own.cores <= coresTarget, own.written, bytesTarget, own.written <= bytesTarget)
 	for _, n := range processCounts {
-		c, err := s.control(n, sizedServers)
+		c, err := s.control(shape{user: s.options.User, processes: n, servers: 1, exclusive: sizedServers})
 		if err != nil {
 			return err
 		}
 		byProcesses = append(byProcesses, c)
 	}
 	for _, n := range tableServers {
-		c, err := s.control(sizedProcesses, n)
+		c, err := s.control(shape{user: s.options.User, processes: sizedProcesses, servers: 1, exclusive: n})
 		if err != nil {
 			return err
 		}
@@ -138,26 +154,27 @@
 	platform, fault float64
 }
 
-func (s *session) control(processes, servers int) (controlFigures, error) {
-	f, err := s.start(shape{user: s.options.User, processes: processes, servers: 1, exclusive: servers})
+// control measures an idle fleet, then a loss in it.
+func (s *session) control(sh shape) (controlFigures, error) {
+	f, err := s.start(sh)
 	if err != nil {
 		return controlFigures{}, err
 	}
 	defer f.Stop()
 	s.warm(f)
-	c := controlFigures{processes: processes, servers: servers}
+	c := controlFigures{processes: sh.processes, servers: len(exclusive(f).Servers)}
 	calls := platformCalls(f)
 	before := takeUsage()
 	s.pause(s.options.Duration)
 	used := takeUsage().since(before)
-	n := float64(processes)
+	n := float64(c.processes)
 	c.cores = used.cores() / n
 	c.written = float64(used.written) / used.elapsed.Seconds() / n
 	c.platform = float64(platformCalls(f)-calls) / used.elapsed.Seconds()
 	c.fault = s.faultCalls(f)
 	spans := len(f.Node(f.Names()[0]).Status().Owners)
 	s.print("part=control entry-processes=%d servers-with-owners=%d spans=%d cores-per-process=%.5f bytes-per-second-per-process=%.0f platform-calls-per-second=%.2f platform-calls-per-second-in-fault=%.2f",
-		processes, servers, spans, c.cores, c.written, c.platform, c.fault)
+		c.processes, c.servers, spans, c.cores, c.written, c.platform, c.fault)
 	return c, nil
 }
 
@@ -189,6 +206,8 @@
 		name  string
 		value func(controlFigures) float64
 	}{
+		{"cores-of-fleet", func(c controlFigures) float64 { return c.cores * float64(c.processes) }},
+		{"bytes-per-second-of-fleet", func(c controlFigures) float64 { return c.written * float64(c.processes) }},
 		{"cores-per-process", func(c controlFigures) float64 { return c.cores }},
 		{"bytes-per-second-per-process", func(c controlFigures) float64 { return c.written }},
 		{"platform-calls-per-second", func(c controlFigures) float64 { return c.platform }},
