--- a/internal/bench/ownerless.go
+++ b/internal/bench/ownerless.go
@@ -67,6 +67,7 @@
 			{name: "freeze-owner", freezesOwner: true},
 			{name: "kill-decider", killsDecider: true},
 			{name: "kill-both", killsOwner: true, killsDecider: true},
+			{name: "freeze-owner-kill-decider", freezesOwner: true, killsDecider: true},
 		} {
 			l.storeName, l.store, l.refused = s.name, s.fault, make(map[string]int)
 			list = append(list, &l)
