--- a/internal/bench/closed.go
+++ b/internal/bench/closed.go
@@ -26,6 +26,7 @@
 		group.Go(c.run)
 	}
 	group.Wait()
+	defer c.sender.close()
 	return float64(c.ran.Load()) / time.Since(started).Seconds()
 }
 
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -38,9 +38,12 @@
 	reason  string
 }
 
-// sender makes a call and waits for its end.
+// sender makes calls.
 type sender interface {
+	// send makes a call and waits for its end.
 	send(sh shot) answer
+	// close closes idle connections, because servers accept few.
+	close()
 }
 
 // load is an open-loop Poisson load: it does not wait for answers.
@@ -78,6 +81,7 @@
 		l.fire(n, next)
 	}
 	l.calls.Wait()
+	l.sender.close()
 	used := takeUsage().since(before)
 	used.dropped = l.dropped
 	used.late = l.late.percentile(99)
--- a/internal/bench/load_test.go
+++ b/internal/bench/load_test.go
@@ -23,6 +23,8 @@
 	return answer{ran: true}
 }
 
+func (*fakeSender) close() {}
+
 // arrivals returns the offsets of the intended starts and the keys for a seed, by call number.
 func arrivals(seed uint64) (offsets []time.Duration, keys []string) {
 	sender := new(fakeSender)
--- a/internal/bench/sender.go
+++ b/internal/bench/sender.go
@@ -57,6 +57,10 @@
 	return answer{ran: a.Outcome == caller.Ran && a.Status < 300, refused: a.Outcome == caller.NotRun, reason: a.Reason}
 }
 
+func (e *entries) close() {
+	e.client.Close()
+}
+
 // direct sends calls straight to the servers: the baseline without limits.
 type direct struct {
 	client  *caller.Client
@@ -93,6 +97,10 @@
 	return last
 }
 
+func (d *direct) close() {
+	d.client.Close()
+}
+
 func (d *direct) attempt(sh shot) answer {
 	server := d.choose.pick()
 	d.attempts.Add(1)
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -108,6 +108,11 @@
 	return read(response), nil
 }
 
+// Close closes the connections that no call uses.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+}
+
 func read(response *fasthttp.Response) Answer {
 	a := Answer{
 		Outcome: string(response.Header.Peek("Outcome")),
