--- a/internal/node/beat.go
+++ b/internal/node/beat.go
@@ -25,9 +25,9 @@
 		Held:            c.heldVersion(),
 		Versions:        c.teams.versions(),
 	}
-	if last, ok := c.leading.followers[a.Process]; ok {
-		request.Teams = c.teams.after(last.Versions)
-	}
+	// A process whose versions are not known gets every team: its lease must not outlive a
+	// configuration that it has not applied.
+	request.Teams = c.teams.after(c.leading.followers[a.Process].Versions)
 	if a.Process == c.node.settings.Name {
 		request.From = a.Process
 		answer := c.followBeat(request)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -233,6 +233,7 @@
 // note adds a control event to the ring and the log.
 func (c *control) note(e event.Event) {
 	e = c.node.ring.Add(e)
+	c.node.meter.events.WithLabelValues(e.Kind.String()).Inc()
 	level := zerolog.InfoLevel
 	if e.Kind == event.Open || e.Kind == event.Close {
 		// A table that moves many spans would write as many lines in each process.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,6 +141,7 @@
 		Suspect:     n.suspect,
 	}, n.routing...)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.meter.registry.MustRegister(newStateCollector(n))
 	n.status.Store(&Status{Process: settings.Name})
 	return n
 }
--- a/pkg/pick/pick.go
+++ b/pkg/pick/pick.go
@@ -26,8 +26,8 @@
 
 import (
 	"cmp"
-	"slices"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
