--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -243,6 +243,32 @@
 	f.nodes[name].Kill()
 }
 
+// Retire stops an entry process gracefully.
+func (f *Fleet) Retire(ctx context.Context, name assign.ProcessID) {
+	n := f.nodes[name]
+	n.Stop(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.killed[name] = true
+}
+
+// Restart starts an entry process again that was killed or retired. No other call may use the fleet
+// meanwhile.
+func (f *Fleet) Restart(name assign.ProcessID) error {
+	for _, settings := range f.plan.Processes {
+		if settings.Name != name {
+			continue
+		}
+		if err := f.startNode(settings); err != nil {
+			return err
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.killed, name)
+	return nil
+}
+
 // Decider returns the process that is the decider, or "".
 func (f *Fleet) Decider() assign.ProcessID {
 	for _, name := range f.Names() {
