--- a/pkg/elect/candidate.go
+++ b/pkg/elect/candidate.go
@@ -32,6 +32,10 @@
 	failures int
 	// willing are the electors that would grant a claim.
 	willing map[assign.ProcessID]bool
+	// refused are the electors that have promised the claimed term to another process.
+	refused map[assign.ProcessID]bool
+	// floor is the elector's floor before its promise to this process's own claim.
+	floor uint64
 	// held are the promises for term.
 	held map[assign.ProcessID]*lease.Held
 	// expires is when the promises of a majority are no longer all valid.
@@ -120,6 +124,8 @@
 	c.term = max(c.seen, m.elector.highest) + 1
 	c.until = now.Add(m.config.Beat)
 	c.held = map[assign.ProcessID]*lease.Held{}
+	c.refused = map[assign.ProcessID]bool{}
+	c.floor = m.elector.floor
 	m.promiseSelf(now)
 	m.sendClaims(now)
 	m.countHeld()
@@ -170,6 +176,11 @@
 	case e.Granted && e.Term == m.candidate.term:
 		m.hold(e.From, e.SentAt)
 		m.countHeld()
+	case e.HighestTerm == m.candidate.term && e.Term == m.candidate.term:
+		m.candidate.refused[e.From] = true
+		if len(m.electors)-len(m.candidate.refused) < m.Quorum() {
+			m.abandon(now)
+		}
 	}
 }
 
@@ -231,6 +242,7 @@
 func (m *Machine) abandon(now time.Time) {
 	if m.candidate.role == claiming {
 		m.sendReleases("")
+		m.elector.forget(m.config.Self, m.candidate.term, m.candidate.floor)
 	}
 	m.candidate.failures++
 	m.withdraw(now)
@@ -258,6 +270,7 @@
 	c.seen = max(c.seen, m.elector.highest)
 	c.role = following
 	c.willing = nil
+	c.refused = nil
 	c.held = nil
 	c.expires = time.Time{}
 	c.next = now.Add(m.delay())
--- a/pkg/elect/elect.go
+++ b/pkg/elect/elect.go
@@ -14,8 +14,9 @@
 //
 // A candidate first probes the electors, which changes nothing at them, and claims a term only
 // when a majority would grant it. A process that hears no decider because of its own link can
-// therefore not raise the term and so push out a healthy decider. A claim that wins no majority
-// within one heartbeat interval is released, and the next probe follows after a random delay.
+// therefore not raise the term and so push out a healthy decider. Of two claims of the same term,
+// the process with the higher name gives up its own. A claim that wins no majority within one
+// heartbeat interval is released, and the next probe follows after a random delay.
 //
 // A decider counts each promise from before its claim or beat was sent; an elector counts it from
 // when it answered. A decider whose lease has lapsed, or that sees a higher term, gives its term
@@ -48,9 +49,10 @@
 //		}
 //	}
 //
-// The owner steps a Tick at least every quarter of a heartbeat interval. While it has the term, it
-// sends beats with m.Term() and m.ElectorsVersion() to every other process, and steps
-// PromiseReceived with each answer. The Machine renews the promise of its own process by itself.
+// The owner steps a Tick at least every quarter of a heartbeat interval; finer ticks make
+// simultaneous claims rarer. While m.Leads(c.Latest()) is true, it sends beats with m.Term() and
+// m.ElectorsVersion() to every other process, the first one on Won, and steps PromiseReceived with
+// each answer. The Machine renews the promise of its own process by itself.
 package elect
 
 import (
@@ -255,7 +257,8 @@
 
 // Settled reports whether this process, as decider, has had a majority of the current elector set
 // since the set last changed. A further change of the set must wait until it is settled and until
-// a majority of the current set holds the current set's version.
+// a majority of the current set holds the current set's version. An assignment is acknowledged
+// only when a majority of the current set holds it, also while it is not settled.
 func (m *Machine) Settled() bool {
 	return m.previous == nil
 }
--- a/pkg/elect/elector.go
+++ b/pkg/elect/elector.go
@@ -70,6 +70,16 @@
 	}
 }
 
+// forget ends the promise to this process's own claim of a term that it has not won and does not
+// claim any more, so that the term may be promised to another process. floor is that before the
+// claim.
+func (el *elector) forget(self assign.ProcessID, term, floor uint64) {
+	if el.holds(self, term) && el.floor == term {
+		el.floor = floor
+	}
+	el.release(self, term)
+}
+
 // waitEnd returns the time at which every promise given before a restart has lapsed.
 func (m *Machine) waitEnd() time.Time {
 	return m.config.Started.Add(m.config.Margin.Stretch(m.config.TermLease))
@@ -115,6 +125,7 @@
 
 func (m *Machine) claimReceived(now time.Time, e ClaimReceived) {
 	m.noteVersion(e.From, e.ElectorsVersion)
+	m.breakTie(now, e)
 	granted := m.wouldGrant(now, e)
 	if granted && !e.Probe {
 		m.yield(now, e)
@@ -147,6 +158,17 @@
 	return e.Term > el.floor && m.free(now)
 }
 
+// breakTie gives up this process's own claim for another one of the same term by a process with a
+// lower name. Two claims that each keep their own process's promise would otherwise both fail, with
+// three electors even without any loss.
+func (m *Machine) breakTie(now time.Time, e ClaimReceived) {
+	tie := m.candidate.role == claiming && m.candidate.term == e.Term && e.From < m.config.Self
+	if tie && m.isElector() && !e.Probe && e.ElectorsVersion >= m.electorsVersion &&
+		!m.elector.wasReleased(now, e.From, e.Term) {
+		m.abandon(now)
+	}
+}
+
 // yield ends this process's own candidacy when it promises to another process.
 func (m *Machine) yield(now time.Time, e ClaimReceived) {
 	if e.From == m.config.Self {
