--- a/pkg/owner/buckets.go
+++ b/pkg/owner/buckets.go
@@ -78,14 +78,16 @@
 	d.checkBuckets = true
 }
 
-// checkRecorders treats a process that is silent as a lost recorder.
+// checkRecorders treats a recorder whose process is silent as lost.
 func (d *Decider) checkRecorders(now time.Time) {
 	if now.Sub(d.wonAt) < d.config.Silence {
 		return
 	}
-	for _, p := range d.processes {
-		if !d.answers(now, p.ID) {
-			d.loseRecorder(p.ID)
+	for _, b := range d.buckets {
+		for _, id := range b.Recorders {
+			if !d.answers(now, id) {
+				d.loseRecorder(id)
+			}
 		}
 	}
 	d.checkBuckets = true
--- a/pkg/owner/decider.go
+++ b/pkg/owner/decider.go
@@ -78,8 +78,12 @@
 	servers map[assign.ServerID]*server
 	spans   map[assign.ServiceID][]*span
 	// sorted holds the keys of spans; services are added and never removed during a term.
-	sorted  []assign.ServiceID
-	buckets []assign.Bucket
+	sorted []assign.ServiceID
+	// look is set where servers or spans have changed, so that spans may have to move. A cell has
+	// thousands of spans, and most events concern none of them.
+	look        bool
+	closedSpans int
+	buckets     []assign.Bucket
 	// lostRecorders are the processes that lost their memory since the buckets were checked.
 	lostRecorders     map[assign.ProcessID]bool
 	drainingProcesses map[assign.ProcessID]bool
@@ -177,7 +181,9 @@
 // advance takes every step that the state allows at now.
 func (d *Decider) advance(now time.Time) {
 	d.repairBuckets(now)
-	d.moveSpans(now)
+	if d.look || d.closedSpans > 0 {
+		d.moveSpans(now)
+	}
 	if d.publish() || d.beatDue {
 		d.sendBeats()
 	}
@@ -188,6 +194,7 @@
 func (d *Decider) tick(now time.Time) {
 	d.forgivePause(now)
 	d.lastTick = now
+	d.look = true
 	d.checkSilence(now)
 	d.dropRuns(now)
 	d.checkRecorders(now)
--- a/pkg/owner/follower.go
+++ b/pkg/owner/follower.go
@@ -22,8 +22,8 @@
 }
 
 // TermPromised tells that this process promised a term as an elector. From then on beats of lower
-// terms are refused. It must be stepped before the table is handed to the decider of that term:
-// otherwise a late table of the old decider could be acknowledged after the new one has read.
+// terms are refused. It is stepped before the table is handed to the decider of that term, so that no
+// late table of an old decider is acknowledged after the new one has read.
 type TermPromised struct{ Term uint64 }
 
 // TableLearned is a table received from another elector after a start of this process.
--- a/pkg/owner/grants.go
+++ b/pkg/owner/grants.go
@@ -71,7 +71,7 @@
 		return
 	}
 	s.heard = now
-	if !e.OK {
+	if !e.OK || d.closedSpans == 0 {
 		return
 	}
 	for _, id := range d.serviceIDs() {
@@ -96,6 +96,9 @@
 // the server refuses from the revoke on. One message carries all spans that left a server by one
 // version.
 func (d *Decider) sendRevokes(wanted func(*leave) bool) {
+	if d.closedSpans == 0 {
+		return
+	}
 	type key struct {
 		server  assign.ServerID
 		version uint64
--- a/pkg/owner/record.go
+++ b/pkg/owner/record.go
@@ -216,6 +216,7 @@
 	d.record.known = true
 	d.record.version = version
 	d.record.next = p.record.NextFence
+	d.look = true
 	d.act(Note{Kind: NoteRecord, Version: version})
 	if p.initial {
 		d.adoptRecord(p.record, p.own)
--- a/pkg/owner/servers.go
+++ b/pkg/owner/servers.go
@@ -71,6 +71,7 @@
 			delete(d.servers, id)
 		}
 	}
+	d.look = true
 	d.record.dirty = true
 }
 
@@ -95,6 +96,7 @@
 		s.steady = now
 	}
 	s.askedAt = e.AskedAt
+	d.look = d.look || s.lost || s.told != e.Draining || s.incarnation != e.Incarnation
 	s.told = e.Draining
 	d.meet(now, s, e.Incarnation)
 	if s.lost {
@@ -145,6 +147,7 @@
 		return
 	}
 	s.lost = true
+	d.look = true
 	d.record.dirty = true
 	d.act(Note{Kind: NoteServerLost, Server: s.ID})
 }
@@ -171,6 +174,7 @@
 func (d *Decider) drainServer(e DrainServer) {
 	if s := d.servers[e.Server]; s != nil {
 		s.ordered = !e.Cancel
+		d.look = true
 		d.record.dirty = true
 	}
 }
--- a/pkg/owner/spans.go
+++ b/pkg/owner/spans.go
@@ -44,15 +44,22 @@
 
 // moveSpans closes the spans of lost and draining servers and opens those whose gate is open.
 func (d *Decider) moveSpans(now time.Time) {
+	d.look = false
+	d.closedSpans = 0
 	for _, id := range d.serviceIDs() {
 		for _, s := range d.spans[id] {
 			d.handOver(s)
 			if !s.Open {
 				d.tryGrant(now, s)
 			}
+			if !s.Open {
+				d.closedSpans++
+			}
 		}
 	}
-	d.sendFirstGrants(now)
+	if d.closedSpans > 0 {
+		d.sendFirstGrants(now)
+	}
 }
 
 // handOver raises the rank of a span whose owner cannot keep it, where a written successor is
