--- a/internal/store/feed_test.go
+++ b/internal/store/feed_test.go
@@ -220,6 +220,41 @@
 		v.check()
 	})
 
+	// Guards against an object that comes back from a list that was answered late.
+	It("does not bring a deleted object back from an older list", func() {
+		old := []store.Object{{Name: "config/a", Version: 1}}
+		lists := []struct {
+			objects  []store.Object
+			revision uint64
+		}{{old, 1}, {nil, 2}, {old, 1}, {nil, 3}}
+		calls := 0
+		f := &faulty{
+			list: func(context.Context, store.API, string) ([]store.Object, uint64, error) {
+				l := lists[min(calls, len(lists)-1)]
+				calls++
+				return l.objects, l.revision, nil
+			},
+			watch: func(ctx context.Context, _ store.API, _ string, _ uint64) ([]store.Change, uint64, error) {
+				<-ctx.Done()
+				return nil, 0, nil
+			},
+		}
+		feed := store.NewFeed(f, "config/", store.FeedOptions{ListEvery: 20 * time.Millisecond})
+		feed.Start(within(5 * time.Second))
+		var seen []store.Change
+		for u := range feed.Updates() {
+			seen = append(seen, u.Changes...)
+			if u.Revision == 3 {
+				break
+			}
+		}
+		feed.Stop()
+		Expect(seen).To(Equal([]store.Change{
+			{Object: store.Object{Name: "config/a", Version: 1}},
+			{Object: store.Object{Name: "config/a", Version: 2}, Deleted: true},
+		}))
+	})
+
 	// Guards against a busy loop that uses up the platform's rate.
 	It("does not call a watch in a busy loop that returns at once without news", func() {
 		_, client := pair(stand.PlatformOptions{}, fast)
