Send the grants of a server one after the other, and step down without leaving the election

A grant that overtook a later one would have taken away spans that were granted meanwhile: grants ran in tasks of their own. They now wait in one place for each server, where a later one replaces an earlier one. A decider that found a record of a higher term released itself from the election for good; it now learns the term and may claim a later one.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -49,6 +49,9 @@
 	draining bool
 	drained  chan struct{}
 	serving  bool
+	// events wait while the actions of an earlier one are carried out.
+	events   []owner.DeciderEvent
+	deciding bool
 }
 
 // leading is what belongs to one term as decider.
--- a/internal/node/decide.go
+++ b/internal/node/decide.go
@@ -40,8 +40,33 @@
 		c.elect(elect.Tick{Latest: c.node.clock.Latest()})
 		return
 	}
-	for _, action := range c.decider.Step(now, e) {
-		c.carryOut(action)
+	// An action may lead to another event, such as this process's answer to its own heartbeat. Such
+	// events wait, so that the actions of one step are carried out before those of the next.
+	c.events = append(c.events, e)
+	if c.deciding {
+		return
+	}
+	c.deciding = true
+	defer func() { c.deciding = false }()
+	for len(c.events) > 0 {
+		next := c.events[0]
+		c.events = c.events[1:]
+		for _, action := range c.decider.Step(now, next) {
+			c.carryOut(action)
+		}
+	}
+}
+
+// stepDown gives the term up where the stored record says that it is over.
+func (c *control) stepDown(a owner.StepDown) {
+	c.note(event.Event{Kind: event.TermLost, Version: a.Term, Detail: a.Reason.String()})
+	c.endTerm()
+	switch a.Reason {
+	case owner.HigherTerm:
+		// The election gives its term up when it learns a higher one, and may claim a later one.
+		c.elect(elect.StateLearned{HighestTerm: a.Term})
+	case owner.NotElector:
+		c.elect(elect.Release{})
 	}
 }
 
@@ -53,8 +78,8 @@
 			c.sendBeat(a)
 		}
 	case owner.SendGrant:
-		if s := c.servers.get(a.Server); s != nil {
-			n.group.Go((&grantTask{node: n, server: s, action: a}).run)
+		if m := c.servers.members[a.Server]; m != nil {
+			m.granter.send(a)
 		}
 	case owner.SendRevoke:
 		if s := c.servers.get(a.Server); s != nil {
@@ -69,9 +94,7 @@
 	case owner.ReadRecord:
 		n.group.Go((&readTask{node: n}).run)
 	case owner.StepDown:
-		c.note(event.Event{Kind: event.TermLost, Detail: a.Reason.String()})
-		c.endTerm()
-		c.elect(elect.Release{})
+		c.stepDown(a)
 	case owner.Note:
 		c.noteDecision(a)
 	}
@@ -102,36 +125,63 @@
 	c.note(e)
 }
 
-// grantTask sends a grant to a server.
-type grantTask struct {
-	node   *Node
-	server *entry.Server
-	action owner.SendGrant
+// granter sends the grants of one server, one after the other. A grant that waits is replaced by a
+// later one: each grant replaces all spans of the server, so an overtaken one would take away spans
+// that were granted meanwhile.
+type granter struct {
+	node    *Node
+	server  *entry.Server
+	ctx     context.Context
+	waiting chan owner.SendGrant
 }
 
-func (t *grantTask) run() {
-	ctx, cancel := context.WithTimeout(t.node.ctx, serverTime)
+func newGranter(ctx context.Context, n *Node, server *entry.Server) *granter {
+	return &granter{node: n, server: server, ctx: ctx, waiting: make(chan owner.SendGrant, 1)}
+}
+
+// send replaces the grant that waits. Only the control goroutine calls it.
+func (g *granter) send(a owner.SendGrant) {
+	select {
+	case <-g.waiting:
+	default:
+	}
+	g.waiting <- a
+}
+
+func (g *granter) loop() {
+	for {
+		select {
+		case <-g.ctx.Done():
+			return
+		case a := <-g.waiting:
+			g.deliver(a)
+		}
+	}
+}
+
+func (g *granter) deliver(a owner.SendGrant) {
+	ctx, cancel := context.WithTimeout(g.ctx, serverTime)
 	defer cancel()
-	notAfter, known := t.server.NotAfter(t.action.Deadline)
+	notAfter, known := g.server.NotAfter(a.Deadline)
 	if !known {
-		health, err := t.server.Client.Health(ctx)
+		health, err := g.server.Client.Health(ctx)
 		if err != nil {
 			return
 		}
-		t.server.Observe(health.Receipt)
-		if notAfter, known = t.server.NotAfter(t.action.Deadline); !known {
+		g.server.Observe(health.Receipt)
+		if notAfter, known = g.server.NotAfter(a.Deadline); !known {
 			return
 		}
 	}
-	receipt, err := t.server.Client.Grant(ctx, notAfter, granted(t.action.Spans))
+	receipt, err := g.server.Client.Grant(ctx, notAfter, granted(a.Spans))
 	if err != nil && back.KindOf(err) != back.Stale {
 		return
 	}
 	if err == nil {
-		t.server.Observe(receipt)
+		g.server.Observe(receipt)
 	}
-	t.node.post(grantAnswered{event: owner.GrantAnswered{
-		Server: t.server.ID, Incarnation: receipt.Incarnation, Version: t.action.Version, OK: err == nil,
+	g.node.post(grantAnswered{event: owner.GrantAnswered{
+		Server: a.Server, Incarnation: receipt.Incarnation, Version: a.Version, OK: err == nil,
 	}})
 }
 
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -153,6 +153,7 @@
 	}
 	c.leading.cancel()
 	c.leading = nil
+	c.events = nil
 	c.decider.Step(c.node.clock.Now(), owner.Stopped{})
 }
 
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -38,6 +38,7 @@
 	*entry.Server
 	client  back.Server
 	watcher *watcher
+	granter *granter
 }
 
 func newServers(n *Node) *servers {
@@ -111,7 +112,9 @@
 	}, service.Calls, s.node.clock)
 	m := &member{Server: entry.NewServer(server, client, gate, s.node.settings.Timing.Margin), client: client}
 	m.watcher = newWatcher(s.node, m.Server, service.Choice)
+	m.granter = newGranter(m.watcher.ctx, s.node, m.Server)
 	s.node.group.Go(m.watcher.loop)
+	s.node.group.Go(m.granter.loop)
 	s.members[server.ID] = m
 	return m
 }
--- a/pkg/owner/actions.go
+++ b/pkg/owner/actions.go
@@ -72,7 +72,11 @@
 type ReadRecord struct{}
 
 // StepDown ends this process's term.
-type StepDown struct{ Reason Reason }
+type StepDown struct {
+	Reason Reason
+	// Term is that of the stored record.
+	Term uint64
+}
 
 // Note is an entry for the event log.
 type Note struct {
--- a/pkg/owner/record.go
+++ b/pkg/owner/record.go
@@ -149,7 +149,7 @@
 // the same record is sent again; any other version means that it no longer can.
 func (d *Decider) recordRead(now time.Time, e RecordRead) {
 	if e.Record != nil && e.Record.Term > d.term {
-		d.stepDown(HigherTerm)
+		d.stepDown(HigherTerm, e.Record.Term)
 		return
 	}
 	p := d.record.pending
@@ -162,7 +162,7 @@
 	}
 	d.takeRecord(e)
 	if !slices.Contains(d.electors, d.config.Self) {
-		d.stepDown(NotElector)
+		d.stepDown(NotElector, d.term)
 		return
 	}
 	switch {
@@ -194,8 +194,8 @@
 	}
 }
 
-func (d *Decider) stepDown(r Reason) {
-	d.act(StepDown{Reason: r})
+func (d *Decider) stepDown(r Reason, term uint64) {
+	d.act(StepDown{Reason: r, Term: term})
 	d.state = state{}
 }
 
