Implement concurrency limits, class queues, retry budget and long-work tokens

Long calls do not count in the learned limit: with a limit of 1, one of them would keep all short calls of the process waiting.

--- a/pkg/limit/calls.go
+++ b/pkg/limit/calls.go
@@ -1,6 +1,9 @@
 package limit
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
 // CallsConfig configures a Calls. Zero values mean the defaults.
 type CallsConfig struct {
@@ -10,25 +13,63 @@
 	Burst float64
 }
 
-// Calls knows the run times of the operations of one service and its retry budget. It is safe for
-// concurrent use.
-type Calls struct{}
+// Calls joins a Runs and a Budget for one service. It is safe for concurrent use.
+type Calls struct {
+	mu     sync.Mutex
+	budget *Budget
+	runs   *Runs
+}
 
 // NewCalls returns a Calls with a full retry budget and no run times.
-func NewCalls(c CallsConfig) *Calls { return &Calls{} }
+func NewCalls(c CallsConfig) *Calls {
+	return &Calls{budget: NewBudget(c.Share, c.Burst), runs: NewRuns()}
+}
 
 // Started counts a call, not a retry, for the retry budget.
-func (c *Calls) Started() {}
+func (c *Calls) Started() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.budget.Call()
+}
 
 // Retry takes a token of the retry budget. It reports false where the budget is used up.
-func (c *Calls) Retry() bool { return true }
+func (c *Calls) Retry() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.budget.Take()
+}
 
-// Class returns the class of an operation: declared, or Long where it was observed to run over 10
-// times the median of short calls. A Booking stays a Booking in the queue order, see Runs.Class.
-func (c *Calls) Class(operation string, declared Class) Class { return declared }
+// Class is Runs.Class.
+func (c *Calls) Class(operation string, declared Class) Class {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.runs.Class(operation, declared)
+}
 
-// Observe records the run time of a call that ran.
-func (c *Calls) Observe(operation string, class Class, run time.Duration) {}
+// Observe is Runs.Observe. Ticket.Done calls it.
+func (c *Calls) Observe(operation string, run time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runs.Observe(operation, run)
+}
 
-// Estimate returns the expected run time of an operation, 0 where nothing is known.
-func (c *Calls) Estimate(operation string) time.Duration { return 0 }
+// Estimate is Runs.Estimate.
+func (c *Calls) Estimate(operation string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.runs.Estimate(operation)
+}
+
+// estimates returns Runs.Mean and Runs.Estimate.
+func (c *Calls) estimates(operation string) (mean, estimate time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.runs.Mean(operation), c.runs.Estimate(operation)
+}
+
+// Usual is Runs.Usual.
+func (c *Calls) Usual(operation string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.runs.Usual(operation)
+}
--- a/pkg/limit/errors.go
+++ b/pkg/limit/errors.go
@@ -2,9 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/samphiredrum/samphiredrum/pkg/assign"
 )
 
 // Errors is the namespace of the errors of this package.
@@ -41,30 +44,42 @@
 	KindOther
 )
 
-// RefusalError is the error of Gate.Acquire. Its errorx form, with a stack trace, is built only when
-// Typed is called, because building one for each refusal would dominate the cost of shedding.
+// RefusalError is the error of Gate.Acquire. Its message, and its errorx form with a stack trace,
+// are built only when they are asked for, because they would dominate the cost of shedding.
 type RefusalError struct {
 	// Kind is never KindNone.
 	Kind Kind
+	// Server is the server that was not called.
+	Server assign.ServerID
 	// Wait is how long the caller should wait before it repeats the call, 0 where it is not known.
-	Wait    time.Duration
-	message string
+	Wait time.Duration
 }
 
 // Error returns the message, which names the remedy.
-func (r *RefusalError) Error() string { return r.message }
+func (r *RefusalError) Error() string {
+	switch r.Kind {
+	case KindFull:
+		return fmt.Sprintf("the queue of server %s is full; repeat the call in %s, or raise queue-length or add servers", r.Server, r.Wait)
+	case KindDeadline:
+		return fmt.Sprintf("server %s cannot answer by the deadline; repeat the call in %s, or give it more time", r.Server, r.Wait)
+	case KindCancelled:
+		return fmt.Sprintf("the call to server %s was cancelled while it waited; repeat it if it is still needed", r.Server)
+	default:
+		return fmt.Sprintf("server %s is no longer used; repeat the call to have another server chosen", r.Server)
+	}
+}
 
 // Typed returns the errorx form: FullError, DeadlineError, CancelledError or ClosedError.
 func (r *RefusalError) Typed() *errorx.Error {
 	switch r.Kind {
 	case KindFull:
-		return FullError.New("%s", r.message)
+		return FullError.New("%s", r.Error())
 	case KindDeadline:
-		return DeadlineError.New("%s", r.message)
+		return DeadlineError.New("%s", r.Error())
 	case KindCancelled:
-		return CancelledError.New("%s", r.message)
+		return CancelledError.New("%s", r.Error())
 	default:
-		return ClosedError.New("%s", r.message)
+		return ClosedError.New("%s", r.Error())
 	}
 }
 
--- a/pkg/limit/keeper.go
+++ b/pkg/limit/keeper.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 	"github.com/samphiredrum/samphiredrum/pkg/lease"
 )
@@ -89,25 +91,116 @@
 func (KeeperTick) keeperEvent()       {}
 func (AnswerToken) keeperAction()     {}
 
+// askAgain is the wait told to a process that gets no token. Long work runs for far longer.
+const askAgain = 50 * time.Millisecond
+
+// defaultTokens is a third of the 6 slots of a server.
+const defaultTokens = 2
+
 // Keeper gives out the tokens for long work at one server.
 type Keeper struct {
 	config KeeperConfig
+	given  map[Token]*lease.Given
+	// unreported are the processes whose long work is not known, until quietUntil.
+	unreported map[assign.ProcessID]bool
+	quietUntil time.Time
 }
 
 // NewKeeper returns a Keeper that took over at now and gives no token until every process has
 // reported its long work, or the longest long timeout has passed.
 func NewKeeper(now time.Time, c KeeperConfig, processes []assign.ProcessID) *Keeper {
-	return &Keeper{config: c}
+	if c.Tokens <= 0 {
+		c.Tokens = defaultTokens
+	}
+	if c.Margin == (lease.Margin{}) {
+		c.Margin = lease.DefaultMargin
+	}
+	k := &Keeper{
+		config:     c,
+		given:      map[Token]*lease.Given{},
+		unreported: map[assign.ProcessID]bool{},
+		quietUntil: now.Add(c.Margin.Stretch(c.Longest)),
+	}
+	for _, p := range processes {
+		k.unreported[p] = true
+	}
+	return k
 }
 
 // Step handles an event.
-func (k *Keeper) Step(now time.Time, e KeeperEvent) []KeeperAction { return nil }
+func (k *Keeper) Step(now time.Time, e KeeperEvent) []KeeperAction {
+	k.lapse(now)
+	switch e := e.(type) {
+	case TokenAsked:
+		return []KeeperAction{k.ask(now, e)}
+	case TokenReturned:
+		delete(k.given, e.Token)
+	case LongReported:
+		k.report(now, e)
+	case ProcessesChanged, KeeperTick:
+		// A process that left the table without a report may still have long work at the server, and
+		// one that joined was not given tokens by an earlier keeper.
+	}
+	return nil
+}
 
 // InUse returns the number of tokens given out.
-func (k *Keeper) InUse(now time.Time) int { return 0 }
+func (k *Keeper) InUse(now time.Time) int {
+	k.lapse(now)
+	return len(k.given)
+}
+
+func (k *Keeper) ask(now time.Time, e TokenAsked) AnswerToken {
+	// A successor waits for Longest only, so no token may last longer.
+	length := min(e.Length, k.config.Longest)
+	g, renewed := k.given[e.Token]
+	if !renewed {
+		if k.quiet(now) || len(k.given) >= k.config.Tokens {
+			return AnswerToken{Token: e.Token, Wait: askAgain}
+		}
+		g = &lease.Given{}
+		k.given[e.Token] = g
+	}
+	g.Extend(now, length, k.config.Margin)
+	return AnswerToken{Token: e.Token, Given: true, Length: length}
+}
+
+// quiet reports whether long work may exist that this keeper does not know.
+func (k *Keeper) quiet(now time.Time) bool {
+	return len(k.unreported) > 0 && now.Before(k.quietUntil)
+}
+
+func (k *Keeper) report(now time.Time, e LongReported) {
+	delete(k.unreported, e.Process)
+	for _, u := range e.Uses {
+		g, ok := k.given[u.Token]
+		if !ok {
+			g = &lease.Given{}
+			k.given[u.Token] = g
+		}
+		g.Extend(now, u.Left, k.config.Margin)
+	}
+}
+
+func (k *Keeper) lapse(now time.Time) {
+	for t, g := range k.given {
+		if g.Lapsed(now) {
+			delete(k.given, t)
+		}
+	}
+}
 
 // KeeperOf returns the process that keeps the tokens of a server, by rendezvous hash, "" where
-// there are no processes.
+// there are no processes. A change of the processes moves only the servers of those that left or
+// joined.
 func KeeperOf(server assign.ServerID, processes []assign.ProcessID) assign.ProcessID {
-	return ""
+	var keeper assign.ProcessID
+	var highest uint64
+	for _, p := range processes {
+		score := xxhash.Sum64String(string(server) + "\x00" + string(p))
+		if keeper == "" || score > highest || score == highest && p < keeper {
+			keeper, highest = p, score
+		}
+	}
+	return keeper
 }
