--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -144,13 +144,14 @@
 func (r *run) killOwner() {
 	id := r.fleet.Owners()[0]
 	spans := r.fleet.Spans(id)
+	lost := len(spans)
 	r.fleet.Backend(id).Kill()
 	started := time.Now()
 	for len(spans) > 0 && time.Since(started) < 2*recoveryTime {
 		time.Sleep(pollInterval)
 		r.fleet.DropServed(spans, id)
 	}
-	r.print("event=killed server=%s spans-left=%d served-again-after=%s", id, len(spans), rounded(time.Since(started)))
+	r.print("event=killed server=%s spans=%d spans-left=%d served-again-after=%s", id, lost, len(spans), rounded(time.Since(started)))
 }
 
 func (r *run) killDecider() {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -320,15 +320,22 @@
 	From    uint64
 }
 
-// DropServed removes the spans that some process sees open at a server other than id.
+// DropServed removes the spans that every process sees open at a server other than id.
 func (f *Fleet) DropServed(spans map[SpanName]bool, id assign.ServerID) {
-	for _, name := range f.Names() {
+	names := f.Names()
+	seen := make(map[SpanName]int)
+	for _, name := range names {
 		for _, o := range f.nodes[name].Status().Owners {
 			if o.Server != id && o.Open {
-				delete(spans, SpanName{o.Service, o.From})
+				seen[SpanName{o.Service, o.From}]++
 			}
 		}
 	}
+	for span := range spans {
+		if seen[span] == len(names) {
+			delete(spans, span)
+		}
+	}
 }
 
 // Moved reports whether no process sends keys to the server any more and every key is open.
