--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -39,6 +39,27 @@
 		Expect(held.Expires()).To(Equal(start.Add(3 * time.Second)))
 	})
 
+	// Guards against a granter that counts a renewed lease as lapsed after a late, older record.
+	It("is never shortened at the granter by an older answer", func() {
+		var given lease.Given
+		given.Extend(start.Add(time.Second), 2*time.Second, lease.DefaultMargin)
+		expires := given.Expires()
+		given.Extend(start, 2*time.Second, lease.DefaultMargin)
+		Expect(given.Expires()).To(Equal(expires))
+	})
+
+	// Guards against a released lease that still blocks the next holder, or is still used.
+	It("ends at once on both sides when it is dropped", func() {
+		var held lease.Held
+		var given lease.Given
+		held.Extend(start, 2*time.Second)
+		given.Extend(start, 2*time.Second, lease.DefaultMargin)
+		held.Drop()
+		given.Drop()
+		Expect(held.Valid(start)).To(BeFalse())
+		Expect(given.Lapsed(start)).To(BeTrue())
+	})
+
 	It("counts as lapsed where it was never given", func() {
 		var given lease.Given
 		Expect(given.Lapsed(start)).To(BeTrue())
