--- a/pkg/elect/race_test.go
+++ b/pkg/elect/race_test.go
@@ -2,6 +2,5 @@
 
 package elect_test
 
-// raceEnabled reduces the number of schedules, as the race detector makes them about ten times
-// slower.
+// raceEnabled reduces the number of schedules, as the race detector makes them several times slower.
 const raceEnabled = true
--- a/pkg/elect/schedule_test.go
+++ b/pkg/elect/schedule_test.go
@@ -271,9 +271,13 @@
 	return fmt.Sprintf("%d processes with %d electors", s.processes, s.electors)
 }
 
+// count returns the number of schedules of n that are run in the current mode.
 func count(n int) int {
-	if testing.Short() || raceEnabled {
+	switch {
+	case testing.Short():
 		return n / 20
+	case raceEnabled:
+		return n / 8
 	}
 	return n
 }
