--- a/pkg/elect/network_test.go
+++ b/pkg/elect/network_test.go
@@ -78,7 +78,9 @@
 	id          assign.ProcessID
 	index       int
 	incarnation int
+	pausedAt    time.Duration
 	pausedUntil time.Duration
+	pauseHidden time.Duration
 	down        bool
 
 	collecting bool
@@ -97,61 +99,6 @@
 	version  uint64
 }
 
-// queued is a function that runs at a real time.
-type queued struct {
-	at  time.Duration
-	seq int
-	f   func()
-}
-
-func (q queued) before(other queued) bool {
-	return q.at < other.at || q.at == other.at && q.seq < other.seq
-}
-
-// queue is a binary heap. container/heap would allocate for each item, which doubles the time of
-// the schedules.
-type queue struct {
-	items []queued
-	seq   int
-}
-
-func (q *queue) push(at time.Duration, f func()) {
-	q.seq++
-	q.items = append(q.items, queued{at: at, seq: q.seq, f: f})
-	i := len(q.items) - 1
-	for i > 0 && q.items[i].before(q.items[(i-1)/2]) {
-		q.items[i], q.items[(i-1)/2] = q.items[(i-1)/2], q.items[i]
-		i = (i - 1) / 2
-	}
-}
-
-func (q *queue) pop() queued {
-	first := q.items[0]
-	last := len(q.items) - 1
-	q.items[0] = q.items[last]
-	q.items[last] = queued{}
-	q.items = q.items[:last]
-	q.sink()
-	return first
-}
-
-// sink restores the order of the heap below its first item.
-func (q *queue) sink() {
-	for i := 0; ; {
-		least := i
-		for _, child := range []int{2*i + 1, 2*i + 2} {
-			if child < len(q.items) && q.items[child].before(q.items[least]) {
-				least = child
-			}
-		}
-		if least == i {
-			return
-		}
-		q.items[i], q.items[least] = q.items[least], q.items[i]
-		i = least
-	}
-}
-
 // newNetwork returns a network of processes p01, p02, ..., of which the first are electors.
 func newNetwork(seed uint64, processes, electors int) *network {
 	n := &network{
@@ -203,7 +150,7 @@
 	n.queue.push(n.now+d, func() {
 		switch {
 		case nd.incarnation != incarnation || nd.down:
-		case n.now < nd.pausedUntil:
+		case n.paused(nd):
 			n.after(nd, incarnation, nd.pausedUntil-n.now+n.upTo(time.Millisecond), f)
 		default:
 			f()
@@ -231,30 +178,6 @@
 	})
 }
 
-// beat sends heartbeats while nd is the decider.
-func (n *network) beat(nd *node) {
-	if !nd.leads(n.now) {
-		return
-	}
-	nd.beatAt = n.now + elect.DefaultBeat
-	sentAt := nd.latest(n.now)
-	e := elect.BeatReceived{From: nd.id, Term: nd.machine.Term(), ElectorsVersion: nd.machine.ElectorsVersion()}
-	electors := nd.machine.Electors()
-	for _, to := range n.nodes {
-		if to == nd {
-			continue
-		}
-		n.send(nd, to, func() {
-			if n.step(to, e, sentAt) {
-				n.changeElectors(to, electors, e.ElectorsVersion)
-				if to.collecting {
-					n.step(to, elect.StateLearned{HighestTerm: e.Term}, time.Time{})
-				}
-			}
-		})
-	}
-}
-
 // send delivers f to a node, late, twice or not at all.
 func (n *network) send(from, to *node, f func()) {
 	copies := 1
@@ -283,141 +206,6 @@
 	})
 }
 
-// step steps an event and carries out the actions. It reports whether a beat was accepted. sentAt is
-// the sender's clock reading that is returned to it with the answer.
-func (n *network) step(nd *node, e elect.Event, sentAt time.Time) bool {
-	accepted := false
-	for _, a := range nd.machine.Step(nd.clock(n.now), e) {
-		switch a := a.(type) {
-		case elect.SendClaim:
-			n.claim(nd, a)
-		case elect.SendRelease:
-			to := n.byID[a.To]
-			n.send(nd, to, func() {
-				n.step(to, elect.ReleaseReceived{From: nd.id, Term: a.Term, Next: a.Next}, time.Time{})
-			})
-		case elect.AnswerClaim:
-			n.promise(nd, a.To, elect.PromiseReceived{
-				From: nd.id, Term: a.Term, SentAt: sentAt, Granted: a.Granted, HighestTerm: a.HighestTerm,
-				ElectorsVersion: a.ElectorsVersion, Probe: a.Probe,
-			})
-		case elect.AnswerBeat:
-			accepted = a.Accepted
-			n.promise(nd, a.To, elect.PromiseReceived{
-				From: nd.id, Term: a.Term, SentAt: sentAt, Granted: a.Granted, HighestTerm: a.HighestTerm,
-				ElectorsVersion: a.ElectorsVersion,
-			})
-		case elect.Won:
-			n.won(nd, a)
-		case elect.Lost:
-			nd.lost++
-			n.log("%v %s lost term %d: %s", n.now.Round(time.Millisecond), nd.id, a.Term, a.Reason)
-		case elect.CollectStates:
-			nd.collecting = true
-			for _, id := range a.From {
-				n.askState(nd, n.byID[id], true)
-			}
-		case elect.LearnElectors:
-			n.askState(nd, n.byID[a.From], false)
-		}
-	}
-	n.check()
-	return accepted
-}
-
-func (n *network) claim(nd *node, a elect.SendClaim) {
-	to := n.byID[a.To]
-	sentAt := nd.latest(n.now)
-	n.send(nd, to, func() {
-		n.step(to, elect.ClaimReceived{
-			From: nd.id, Term: a.Term, ElectorsVersion: a.ElectorsVersion, Probe: a.Probe,
-		}, sentAt)
-	})
-}
-
-func (n *network) promise(from *node, to assign.ProcessID, e elect.PromiseReceived) {
-	nd := n.byID[to]
-	n.answer(from, nd, func() {
-		nd.versions[e.From] = e.ElectorsVersion
-		n.step(nd, e, time.Time{})
-	})
-}
-
-func (n *network) won(nd *node, a elect.Won) {
-	n.log("%v %s won term %d promised by %v", n.now.Round(time.Millisecond), nd.id, a.Term, a.Promised)
-	name := fmt.Sprintf("%s/%d", nd.id, nd.incarnation)
-	if other, ok := n.winners[a.Term]; ok {
-		n.fault("term %d won by %s and by %s", a.Term, other, name)
-	}
-	n.winners[a.Term] = name
-	n.record.term = max(n.record.term, a.Term)
-	if len(a.Promised) < nd.machine.Quorum() {
-		n.fault("term %d won with %d promises", a.Term, len(a.Promised))
-	}
-	nd.versions = map[assign.ProcessID]uint64{}
-	n.changeElectors(nd, n.record.electors, n.record.version)
-	n.beat(nd)
-}
-
-// askState asks a process for its state. Only answers to CollectStates count for learning.
-func (n *network) askState(nd, of *node, collect bool) {
-	incarnation := nd.incarnation
-	n.send(nd, of, func() {
-		s := state{
-			learned:  of.machine.Learned(),
-			highest:  of.machine.HighestTerm(),
-			electors: of.machine.Electors(),
-			version:  of.machine.ElectorsVersion(),
-		}
-		n.answer(of, nd, func() {
-			if nd.incarnation == incarnation {
-				n.stateAnswered(nd, of.id, s, collect)
-			}
-		})
-	})
-}
-
-func (n *network) stateAnswered(nd *node, from assign.ProcessID, s state, collect bool) {
-	n.changeElectors(nd, s.electors, s.version)
-	if !collect || nd.machine.Learned() {
-		return
-	}
-	nd.learned[from] = nd.learned[from] || s.learned
-	nd.highest = max(nd.highest, s.highest)
-	answered, learned := nd.countStates()
-	if answered {
-		// The whole cell may have started. Only the stored record shows whether this set is current.
-		n.changeElectors(nd, n.record.electors, n.record.version)
-		nd.highest = max(nd.highest, n.record.term)
-		answered, learned = nd.countStates()
-	}
-	if answered || learned >= nd.machine.Quorum() {
-		n.step(nd, elect.StateLearned{HighestTerm: nd.highest}, time.Time{})
-	}
-}
-
-// countStates reports whether all other electors have answered, and how many of them had learned
-// the state.
-func (nd *node) countStates() (answered bool, learned int) {
-	answered = true
-	for _, id := range nd.machine.Electors() {
-		l, ok := nd.learned[id]
-		if l {
-			learned++
-		}
-		if !ok && id != nd.id {
-			answered = false
-		}
-	}
-	return answered, learned
-}
-
-func (n *network) changeElectors(nd *node, electors []assign.ProcessID, version uint64) {
-	if version > nd.machine.ElectorsVersion() {
-		n.step(nd, elect.ElectorsChanged{Electors: electors, Version: version}, time.Time{})
-	}
-}
-
 // check compares the machines at this instant of real time.
 func (n *network) check() {
 	leading := 0
@@ -480,22 +268,41 @@
 	clear(n.cuts)
 	n.loss, n.duplicate, n.late = 0, 0, 0
 	for _, nd := range n.nodes {
-		nd.pausedUntil = min(nd.pausedUntil, n.now)
+		n.resume(nd)
 	}
 }
 
-// pause stops a node while its clock goes on. Of the pause, hidden is not seen by the clock's Now.
+func (n *network) paused(nd *node) bool {
+	return n.now < nd.pausedUntil
+}
+
+// pause stops a node, unless it is paused already, while its clock goes on. Of the pause, hidden is
+// not seen by the clock's Now.
 func (n *network) pause(nd *node, d, hidden time.Duration) {
+	if n.paused(nd) {
+		return
+	}
+	nd.pausedAt = n.now
 	nd.pausedUntil = n.now + d
+	nd.pauseHidden = hidden
 	nd.hidden += hidden
 }
 
+// resume ends a pause early. No more time than has passed may stay hidden, or Now would go back.
+func (n *network) resume(nd *node) {
+	if !n.paused(nd) {
+		return
+	}
+	nd.hidden -= max(0, nd.pauseHidden-(n.now-nd.pausedAt))
+	nd.pausedUntil = n.now
+}
+
 // restart replaces a process by a new incarnation. The earlier one may be frozen instead of ended.
 func (n *network) restart(nd *node, freeze bool) {
 	if freeze {
 		n.frozen = append(n.frozen, nd.view)
 	}
-	nd.pausedUntil = 0
+	n.resume(nd)
 	n.start(nd)
 }
 
--- a/pkg/elect/schedule_test.go
+++ b/pkg/elect/schedule_test.go
@@ -118,7 +118,7 @@
 			n.restart(nd, n.random.IntN(3) == 0)
 		}
 	case 7:
-		if n.mayRestart(nd) {
+		if n.mayRestart(nd) && !n.paused(nd) {
 			n.plannedStop(nd)
 		}
 	case 8:
@@ -154,7 +154,7 @@
 // changeElectorSet lets the decider add or remove one elector where the last change is complete.
 func (n *network) changeElectorSet(nd *node) {
 	d := n.decider()
-	if d == nil || n.now < d.pausedUntil || !d.machine.Settled() || d.machine.ElectorsVersion() != n.record.version {
+	if d == nil || n.paused(d) || !d.machine.Settled() || d.machine.ElectorsVersion() != n.record.version {
 		return
 	}
 	holding := 0
@@ -271,9 +271,13 @@
 	return fmt.Sprintf("%d processes with %d electors", s.processes, s.electors)
 }
 
+// count returns the number of schedules of n that are run in the current mode.
 func count(n int) int {
-	if testing.Short() || raceEnabled {
+	switch {
+	case testing.Short():
 		return n / 20
+	case raceEnabled:
+		return n / 12
 	}
 	return n
 }
