Start a cell without a lost process, wire the churn budgets, average the reported load

Found by the election's tests: a cold start needs the term of the stored record, or two deciders can win one term. A cell whose process was missing never started; after 5 s a majority without memory and the record are now enough. Rebalancing followed the noise of single heartbeat intervals and ignored the teams' churn budgets: loads are now averaged over 5 s and the budget of each service counts per minute.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -145,8 +145,8 @@
 	id := r.fleet.Owners()[0]
 	spans := r.fleet.Spans(id)
 	lost := len(spans)
-	r.fleet.Backend(id).Kill()
 	started := time.Now()
+	r.fleet.Backend(id).Kill()
 	for len(spans) > 0 && time.Since(started) < 2*recoveryTime {
 		time.Sleep(pollInterval)
 		r.fleet.DropServed(spans, id)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -71,6 +71,11 @@
 	return func(f *Fleet) { f.options = append(f.options, options...) }
 }
 
+// Without leaves an entry process out, as if its VM were gone.
+func Without(name assign.ProcessID) Option {
+	return func(f *Fleet) { f.killed[name] = true }
+}
+
 // New returns a Fleet that does not run yet.
 func New(plan Plan, options ...Option) *Fleet {
 	f := &Fleet{
@@ -109,6 +114,9 @@
 		}
 	}
 	for _, settings := range f.plan.Processes {
+		if f.killed[settings.Name] {
+			continue
+		}
 		if err := f.startNode(settings); err != nil {
 			return err
 		}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -170,3 +170,14 @@
 }
 
 func (s *stream) done() int64 { return s.count.Load() }
+
+// Guards against a cell that cannot start while one of its entry VMs is gone.
+var _ = It("starts without one of its processes", func() {
+	plan, err := fleet.Load(examples.Files, "bakugaisma")
+	Expect(err).NotTo(HaveOccurred())
+	f := fleet.New(plan, fleet.Without("entry-4"))
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	defer f.Stop()
+	Expect(f.Start(ctx)).To(Succeed())
+})
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -17,6 +17,9 @@
 // drained span is acknowledged.
 const tickInterval = 20 * time.Millisecond
 
+// churnPeriod is the time that the churn budgets of the settings are for.
+const churnPeriod = time.Minute
+
 // firstElectors is the version of the elector set that the settings name.
 const firstElectors = 1
 
@@ -39,11 +42,12 @@
 	states  map[assign.ProcessID]peer.StateAnswer
 
 	// held is the latest table that a majority of the electors is known to hold.
-	held     *assign.Table
-	recent   []*assign.Table
-	inFlight map[assign.ServerID]int
-	loadedAt time.Time
-	beatAt   time.Time
+	held      *assign.Table
+	recent    []*assign.Table
+	inFlight  map[assign.ServerID]int
+	loadedAt  time.Time
+	startedAt time.Time
+	beatAt    time.Time
 	// suspects are the servers that refused a connection since the last heartbeat.
 	suspects map[assign.ServerID]bool
 	draining bool
@@ -68,16 +72,17 @@
 
 func newControl(n *Node) *control {
 	c := &control{
-		node:     n,
-		follower: owner.NewFollower(n.run()),
-		decider:  owner.NewDecider(n.deciderConfig()),
-		teams:    newTeams(n),
-		servers:  newServers(n),
-		peers:    make(map[assign.ProcessID]*courier),
-		claims:   make(map[assign.ProcessID]*assign.Table),
-		states:   make(map[assign.ProcessID]peer.StateAnswer),
-		suspects: make(map[assign.ServerID]bool),
-		loadedAt: n.clock.Now(),
+		node:      n,
+		follower:  owner.NewFollower(n.run()),
+		decider:   owner.NewDecider(n.deciderConfig()),
+		teams:     newTeams(n),
+		servers:   newServers(n),
+		peers:     make(map[assign.ProcessID]*courier),
+		claims:    make(map[assign.ProcessID]*assign.Table),
+		states:    make(map[assign.ProcessID]peer.StateAnswer),
+		suspects:  make(map[assign.ServerID]bool),
+		loadedAt:  n.clock.Now(),
+		startedAt: n.clock.Now(),
 	}
 	c.machine = elect.New(elect.Config{
 		Self:            n.settings.Name,
@@ -123,6 +128,7 @@
 		Silence:      t.Silence,
 		StoreTimeout: t.StoreTimeout,
 		Margin:       t.Margin,
+		ChurnPeriod:  churnPeriod,
 	}
 }
 
@@ -169,6 +175,8 @@
 		}
 	case stateAnswered:
 		c.stateAnswered(m)
+	case coldStarted:
+		c.coldStarted(m)
 	case serverProbed:
 		c.serverProbed(m)
 	case grantAnswered:
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -1,7 +1,12 @@
 package node
 
 import (
+	"context"
+	"encoding/json"
+	"time"
+
 	"github.com/samphiredrum/samphiredrum/internal/peer"
+	"github.com/samphiredrum/samphiredrum/internal/store"
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 	"github.com/samphiredrum/samphiredrum/pkg/elect"
 	"github.com/samphiredrum/samphiredrum/pkg/event"
@@ -100,10 +105,33 @@
 			table = t
 		}
 	}
-	others := len(c.machine.Electors()) - 1
-	if learned < c.machine.Quorum() && len(c.states) < others {
+	if learned < c.machine.Quorum() {
+		// At the start of a whole cell nobody has learned the state. The term in the stored record
+		// then tells what the answers of all other electors may have forgotten.
+		if c.coldStart() {
+			c.node.group.Go((&coldTask{node: c.node, highest: highest}).run)
+		}
 		return
 	}
+	c.learn(table, highest)
+}
+
+// coldWait is the time for which a process that starts waits for the answers of all other electors.
+// After it, a majority without memory is enough: the leases of whatever decider the missing ones
+// remember have lapsed, and the record has fences above all that were granted.
+const coldWait = 5 * time.Second
+
+// coldStart reports whether enough electors have answered that they know no state.
+func (c *control) coldStart() bool {
+	answered := len(c.states) + 1
+	if answered == len(c.machine.Electors()) {
+		return true
+	}
+	return answered >= c.machine.Quorum() && c.node.clock.Now().Sub(c.startedAt) >= coldWait
+}
+
+// learn takes over the state of the cell after a start.
+func (c *control) learn(table *assign.Table, highest uint64) {
 	for _, s := range c.states {
 		c.teams.merge(s.State.Teams)
 	}
@@ -136,6 +164,7 @@
 		Processes:    c.node.processes(),
 		Electors:     c.node.electors(),
 	})
+	c.listServers()
 }
 
 func (c *control) lost(a elect.Lost) {
@@ -161,3 +190,42 @@
 func (c *control) release() {
 	c.elect(elect.Release{})
 }
+
+// coldTask reads the term of the stored record at the start of a whole cell. While the object API is
+// down, the process learns nothing and promises nothing.
+type coldTask struct {
+	node    *Node
+	highest uint64
+}
+
+func (t *coldTask) run() {
+	ctx, cancel := context.WithTimeout(t.node.ctx, t.node.settings.Timing.StoreTimeout)
+	defer cancel()
+	object, err := t.node.api.Get(ctx, t.node.recordName())
+	switch store.KindOf(err) {
+	case store.NoError:
+		var record assign.Record
+		if err := json.Unmarshal(object.Value, &record); err != nil {
+			t.node.log.Error().Err(err).Msg("the stored record cannot be read; restore the object from the platform's history")
+			return
+		}
+		t.node.post(coldStarted{highest: max(t.highest, record.Term)})
+	case store.NotFound:
+		t.node.post(coldStarted{highest: t.highest})
+	case store.Conflict, store.Limited, store.TooOld, store.Unknown, store.Down:
+		// The election asks for the states again.
+	}
+}
+
+func (c *control) coldStarted(m coldStarted) {
+	if c.machine.Learned() {
+		return
+	}
+	var table *assign.Table
+	for _, s := range c.states {
+		if t := s.State.Table; t != nil && (table == nil || t.Version > table.Version) {
+			table = t
+		}
+	}
+	c.learn(table, m.highest)
+}
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -60,6 +60,10 @@
 	answer peer.StateAnswer
 }
 
+// coldStarted is the term in the stored record, read after every other elector answered that it
+// knows no state.
+type coldStarted struct{ highest uint64 }
+
 // serverProbed is what a probe for the decider found.
 type serverProbed struct {
 	server      assign.ServerID
@@ -109,6 +113,7 @@
 func (releaseArrived) message()  {}
 func (stateArrived) message()    {}
 func (stateAnswered) message()   {}
+func (coldStarted) message()     {}
 func (serverProbed) message()    {}
 func (grantAnswered) message()   {}
 func (revokeAnswered) message()  {}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -230,7 +230,11 @@
 }
 
 func (c *control) listServers() {
-	c.decide(owner.ServersListed{Servers: c.exclusiveServers()})
+	budgets := make(map[assign.ServiceID]float64)
+	for _, service := range c.teams.services() {
+		budgets[service.ID] = service.ChurnBudget
+	}
+	c.decide(owner.ServersListed{Servers: c.exclusiveServers(), Budgets: budgets})
 }
 
 // readVMs reads the list of VMs while this process is the decider.
--- a/pkg/owner/decider.go
+++ b/pkg/owner/decider.go
@@ -76,6 +76,7 @@
 	dead map[assign.Run]bool
 
 	servers map[assign.ServerID]*server
+	budgets map[assign.ServiceID]float64
 	spans   map[assign.ServiceID][]*span
 	// sorted holds the keys of spans; services are added and never removed during a term.
 	sorted []assign.ServiceID
@@ -152,6 +153,7 @@
 	case ProcessesListed:
 		d.processes = sortedProcesses(e.Processes)
 	case ServersListed:
+		d.budgets = e.Budgets
 		d.listServers(now, e.Servers)
 	case ServerAnswered:
 		d.serverAnswered(now, e)
--- a/pkg/owner/events.go
+++ b/pkg/owner/events.go
@@ -63,7 +63,12 @@
 
 // ServersListed replaces the list of backend servers of exclusive services. A server that is no
 // longer listed is emptied as a draining one is.
-type ServersListed struct{ Servers []assign.Server }
+type ServersListed struct {
+	Servers []assign.Server
+	// Budgets are the shares of the keys of services that voluntary moves may move in
+	// Config.ChurnPeriod. A service that is not named has Config.ChurnBudget.
+	Budgets map[assign.ServiceID]float64
+}
 
 // ServerAnswered is an answer of a server to a probe that was sent at AskedAt, by this process's
 // clock.
--- a/pkg/owner/volunt.go
+++ b/pkg/owner/volunt.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -13,6 +14,11 @@
 	planInterval = time.Second
 	// loadAge is the age above which a load report no longer counts.
 	loadAge = 10 * time.Second
+	// loadMemory is the time over which rates are averaged. The counts of one heartbeat interval are
+	// so small that their noise alone would move spans.
+	loadMemory = 5 * time.Second
+	// negligibleRate is the rate in calls a second below which an average is forgotten.
+	negligibleRate = 0.01
 	// hotShare is the load of a key, over the mean load of a server, from which the key gets a span
 	// of its own.
 	hotShare = 0.25
@@ -47,7 +53,46 @@
 	if v.reports == nil {
 		v.reports = make(map[reporter]report)
 	}
-	v.reports[reporter{e.Service, e.Process}] = report{at: now, spans: e.Spans, keys: e.Keys}
+	from := reporter{e.Service, e.Process}
+	last := v.reports[from]
+	if last.at.IsZero() || now.Sub(last.at) > loadAge {
+		v.reports[from] = report{at: now, spans: e.Spans, keys: e.Keys}
+		return
+	}
+	weight := 1 - math.Exp(-now.Sub(last.at).Seconds()/loadMemory.Seconds())
+	v.reports[from] = report{
+		at:    now,
+		spans: blendSpans(last.spans, e.Spans, weight),
+		keys:  blendKeys(last.keys, e.Keys, weight),
+	}
+}
+
+// blendSpans returns the moving average of the rates. Spans that are gone are forgotten.
+func blendSpans(last, next map[assign.Span]float64, weight float64) map[assign.Span]float64 {
+	blended := make(map[assign.Span]float64, len(next))
+	for span, rate := range last {
+		if rest := rate * (1 - weight); rest > negligibleRate {
+			blended[span] = rest
+		}
+	}
+	for span, rate := range next {
+		blended[span] += rate * weight
+	}
+	return blended
+}
+
+// blendKeys is blendSpans for single keys.
+func blendKeys(last, next map[uint64]float64, weight float64) map[uint64]float64 {
+	blended := make(map[uint64]float64, len(next))
+	for key, rate := range last {
+		if rest := rate * (1 - weight); rest > negligibleRate {
+			blended[key] = rest
+		}
+	}
+	for key, rate := range next {
+		blended[key] += rate * weight
+	}
+	return blended
 }
 
 // load adds up the recent reports for a service, in the order of processes so that the sums are
@@ -109,7 +154,11 @@
 		v.since = now
 		v.spent = make(map[assign.ServiceID]float64)
 	}
-	return d.config.ChurnBudget - v.spent[id]
+	budget, ok := d.budgets[id]
+	if !ok {
+		budget = d.config.ChurnBudget
+	}
+	return budget - v.spent[id]
 }
 
 func (d *Decider) anyClosed(id assign.ServiceID) bool {
