Publish a table at least every quarter of the booking window

A recorder refuses unknown identifiers of the versions that it has begun to forget. In a quiet cell the version never rose, so after one window (10 min) every newly issued identifier would have been refused as doubtful.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -20,6 +20,9 @@
 // churnPeriod is the time that the churn budgets of the settings are for.
 const churnPeriod = time.Minute
 
+// windowParts is the number of table versions that a booking window sees at least.
+const windowParts = 4
+
 // firstElectors is the version of the elector set that the settings name.
 const firstElectors = 1
 
@@ -129,6 +132,7 @@
 		StoreTimeout: t.StoreTimeout,
 		Margin:       t.Margin,
 		ChurnPeriod:  churnPeriod,
+		Refresh:      t.BookingWindow / windowParts,
 	}
 }
 
--- a/pkg/owner/decider.go
+++ b/pkg/owner/decider.go
@@ -34,6 +34,9 @@
 	StoreTimeout time.Duration
 	// Margin bounds the errors of clocks, lease.DefaultMargin by default.
 	Margin lease.Margin
+	// Refresh is the longest time between two versions of the table, 0 for no bound. Recorders of
+	// booking identifiers need a new version at least every quarter of their window.
+	Refresh time.Duration
 	// ChurnBudget is the share of a service's keys that voluntary moves may move in ChurnPeriod,
 	// 0.05 in 10 s by default. A negative value allows none.
 	ChurnBudget float64
@@ -92,14 +95,15 @@
 	// raised are the buckets whose horizon rises with the next table.
 	raised []int
 
-	table     *assign.Table
-	versions  uint64
-	grants    uint64
-	beats     uint64
-	beatDue   bool
-	dirty     bool
-	record    stored
-	voluntary voluntary
+	table       *assign.Table
+	publishedAt time.Time
+	versions    uint64
+	grants      uint64
+	beats       uint64
+	beatDue     bool
+	dirty       bool
+	record      stored
+	voluntary   voluntary
 }
 
 // NewDecider returns a Decider that has no term.
@@ -186,7 +190,10 @@
 	if d.look || d.closedSpans > 0 {
 		d.moveSpans(now)
 	}
-	if d.publish() || d.beatDue {
+	if d.config.Refresh > 0 && now.Sub(d.publishedAt) >= d.config.Refresh {
+		d.dirty = true
+	}
+	if d.publish(now) || d.beatDue {
 		d.sendBeats()
 	}
 	d.plan(now)
--- a/pkg/owner/publish.go
+++ b/pkg/owner/publish.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 )
@@ -11,11 +12,12 @@
 const versionBits = 32
 
 // publish makes the state a table where it has changed.
-func (d *Decider) publish() bool {
+func (d *Decider) publish(now time.Time) bool {
 	if !d.dirty || d.spans == nil {
 		return false
 	}
 	d.dirty = false
+	d.publishedAt = now
 	d.versions++
 	version := d.term<<versionBits + d.versions
 	d.raiseHorizons(version)
