--- a/pkg/dedup/recorder.go
+++ b/pkg/dedup/recorder.go
@@ -25,7 +25,8 @@
 	// longer than HoldLimit and than any booking runs.
 	Window time.Duration
 	// Grace is added to Window after a rise of the horizon, because a process that has not seen
-	// the rise may still run bookings until its serving lease lapses; 3 s by default.
+	// the rise may still run bookings until its serving lease lapses. It must be longer than the
+	// serving lease with its margin; 3 s by default.
 	Grace time.Duration
 	// Entries is the largest number of identifiers of one bucket; 8192 by default.
 	Entries int
--- a/pkg/pick/pick_test.go
+++ b/pkg/pick/pick_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
 
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 	"github.com/samphiredrum/samphiredrum/pkg/pick"
@@ -185,3 +186,33 @@
 		Expect(run(3000, 20*time.Millisecond, good)["s0"]).To(BeNumerically(">", 500))
 	})
 })
+
+// client is a goroutine that makes calls through a shared set.
+type client struct{ set *pick.Shared }
+
+func (c client) run() {
+	for n := range 200 {
+		id, ok := c.set.Take(start, "")
+		if !ok {
+			continue
+		}
+		c.set.Report(start, id, pick.Report{Load: float64(n)})
+		c.set.Done(start, id, pick.Result{Latency: time.Millisecond, Failed: n%5 == 0})
+		c.set.Ejected(start)
+	}
+}
+
+var _ = Describe("a shared set", func() {
+	// Guards against unprotected state: the race detector fails this test.
+	It("is safe for concurrent use", func() {
+		c := client{set: pick.NewShared(pick.Config{}, rand.New(rand.NewPCG(1, 1)))}
+		c.set.Update(start, list(6, "fd-1"))
+		var group conc.WaitGroup
+		for range 8 {
+			group.Go(c.run)
+		}
+		group.Wait()
+		_, ok := c.set.Take(start, "")
+		Expect(ok).To(BeTrue())
+	})
+})
