--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -26,24 +26,37 @@
 		return refuse(ReasonNoService, "the service was removed from the settings; ask the team's operators")
 	}
 	service.Calls.Started()
+	lost := Result{}
 	for {
 		result := next(ctx, c)
+		if result.Outcome == OutcomeUnknown {
+			lost = result
+		}
 		if result.Reason == ReasonMoved && ctx.Err() == nil {
 			// The attempt was not sent; it costs the server nothing and is not paid for.
 			continue
 		}
 		if !mayRepeat(c, result) || c.Attempt >= maxAttempts || ctx.Err() != nil {
-			return result
+			return certain(lost, result)
 		}
 		if !service.Calls.Retry() {
-			return result
+			return certain(lost, result)
 		}
 		if !pause(ctx, retryPause) {
-			return result
+			return certain(lost, result)
 		}
 	}
 }
 
+// certain returns the result of a call whose earlier attempt lost its answer: where the later attempt
+// was not run, the call may still have run in the earlier one.
+func certain(lost, result Result) Result {
+	if lost.Outcome == OutcomeUnknown && result.Outcome == OutcomeNotRun {
+		return lost
+	}
+	return result
+}
+
 // mayRepeat reports whether another attempt is safe and may help.
 func mayRepeat(c *Call, result Result) bool {
 	switch result.Outcome {
