--- a/internal/scene/deploy.go
+++ b/internal/scene/deploy.go
@@ -10,7 +10,6 @@
 	"slices"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -151,15 +150,19 @@
 		if !p.alive() {
 			return false, ErrRun.New("%s has ended at its start; look at %s.log in %s", p.name, p.name, d.folder)
 		}
-		c, err := net.DialTimeout("tcp", address.String(), lookTime)
-		if err != nil {
-			return false, nil
-		}
-		c.Close()
-		return true, nil
+		return accepts(address), nil
 	})
 }
 
+func accepts(address netip.AddrPort) bool {
+	c, err := net.DialTimeout("tcp", address.String(), lookTime)
+	if err != nil {
+		return false
+	}
+	c.Close()
+	return true
+}
+
 // close ends every process that was started, and the relays.
 func (d *deployment) close() {
 	for _, e := range d.entries {
@@ -194,15 +197,6 @@
 	s.killed = append(s.killed, s.kill())
 }
 
-// pause stops or continues an entry process.
-func (d *deployment) pause(name assign.ProcessID, on bool) {
-	if on {
-		d.entries[name].signal(syscall.SIGSTOP)
-		return
-	}
-	d.entries[name].signal(syscall.SIGCONT)
-}
-
 // fault posts a fault or a list to a stand-in.
 func (d *deployment) fault(address netip.AddrPort, path, body string) error {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
--- a/internal/scene/expect.go
+++ b/internal/scene/expect.go
@@ -7,8 +7,10 @@
 	"strings"
 	"time"
 
+	"github.com/samphiredrum/samphiredrum/internal/audit"
 	"github.com/samphiredrum/samphiredrum/internal/conf"
 	"github.com/samphiredrum/samphiredrum/internal/stand"
+	"github.com/samphiredrum/samphiredrum/pkg/assign"
 )
 
 // resumeLook is how long a process is watched after a bound: one that returns from a pause must not
@@ -93,7 +95,9 @@
 	if !ok {
 		return ErrRun.New("%s was not drained; put \"drain server %s\" before", s.Server, s.Server)
 	}
-	r.checks = append(r.checks, s)
+	r.later(s, func(a audited) []audit.Fault {
+		return audit.Leaving(a.runs, assign.ServerID(s.Server), from, s.Bound)
+	})
 	return sleep(ctx, time.Until(from.Add(s.Bound+pastBound)))
 }
 
--- a/internal/scene/parse.go
+++ b/internal/scene/parse.go
@@ -22,10 +22,10 @@
 	"callers": parseCallers,
 	"kill":    func(w *words) Statement { return Kill{w.line, w.target()} },
 	"restart": func(w *words) Statement { return Restart{w.line, w.target()} },
-	"freeze":  func(w *words) Statement { return Freeze{w.line, w.targetOf(Server), w.duration()} },
-	"pause":   func(w *words) Statement { return Pause{w.line, w.targetOf(Entry), w.duration()} },
+	"freeze":  func(w *words) Statement { return Freeze{w.line, w.targetOf(BackendServer), w.duration()} },
+	"pause":   func(w *words) Statement { return Pause{w.line, w.targetOf(EntryProcess), w.duration()} },
 	"drain":   parseDrain,
-	"stop":    func(w *words) Statement { return Stop{w.line, w.targetOf(Entry)} },
+	"stop":    func(w *words) Statement { return Stop{w.line, w.targetOf(EntryProcess)} },
 	"cut":     parseCut,
 	"store":   parseStore,
 	"config":  parseConfig,
@@ -83,10 +83,7 @@
 		if starts != (i == 0) {
 			return ErrSyntax.New("%s:%d: put one start statement first", s.File, statement.at())
 		}
-		switch statement.(type) {
-		case ExpectPromise, ExpectNoRun, ExpectNoCut, ExpectInForce, ExpectConfig, ExpectRunning:
-			checks = true
-		}
+		checks = checks || statement.checks()
 	}
 	if !checks {
 		return ErrSyntax.New("%s:1: the scenario checks nothing; add a line such as \"expect promise all\"", s.File)
@@ -134,7 +131,7 @@
 }
 
 func parseCut(w *words) Statement {
-	s := Cut{Line: w.line, Target: w.targetOf(Entry)}
+	s := Cut{Line: w.line, Target: w.targetOf(EntryProcess)}
 	direction := w.oneOf(w.next("a direction: in, out or both"), "in", "out", "both")
 	s.In, s.Out = direction != "out", direction != "in"
 	s.Length = w.duration()
@@ -142,7 +139,7 @@
 }
 
 func parseDrain(w *words) Statement {
-	s := Drain{Line: w.line, Target: w.targetOf(Server)}
+	s := Drain{Line: w.line, Target: w.targetOf(BackendServer)}
 	if w.more() {
 		w.literal("by")
 		w.literal("operator")
--- a/internal/scene/process.go
+++ b/internal/scene/process.go
@@ -28,7 +28,7 @@
 	p := &process{name: name, cmd: exec.Command(program, args...), log: log, ended: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := p.cmd.Start(); err != nil {
-		log.Close()
+		_ = log.Close()
 		return nil, ErrRun.Wrap(err, "check that the program %s was built", program)
 	}
 	p.group.Go(p.run)
@@ -39,7 +39,7 @@
 func (p *process) run() {
 	// The exit code of a process that was killed says nothing.
 	_ = p.cmd.Wait()
-	p.log.Close()
+	_ = p.log.Close()
 	close(p.ended)
 }
 
--- a/internal/scene/run.go
+++ b/internal/scene/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/samphiredrum/samphiredrum/internal/audit"
 	"github.com/samphiredrum/samphiredrum/internal/caller"
+	"github.com/samphiredrum/samphiredrum/internal/stand"
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 )
 
@@ -92,8 +93,8 @@
 	changes map[string]*operator
 	// probes counts the calls of the runner itself.
 	probes int
-	// checks are the expectations that are checked after the end of all processes.
-	checks []Statement
+	// checks are made on the record after the end of all processes.
+	checks []check
 }
 
 func (r *runner) print(at int, format string, args ...any) {
@@ -168,19 +169,29 @@
 	}
 	r.result.Attempts, r.result.Runs = len(attempts), len(runs)
 	r.summarize(attempts)
-	faults := audit.Check(runs, attempts)
-	for _, s := range r.checks {
-		switch s := s.(type) {
-		case ExpectPromise:
-			r.report(s, matching(faults, s.Name))
-		case ExpectNoRun:
-			r.report(s, audit.Leaving(runs, assign.ServerID(s.Server), r.drained[s.Server], s.Bound))
-		case ExpectNoCut:
-			r.report(s, audit.Cuts(attempts, r.killed))
-		}
+	rec := audited{runs: runs, attempts: attempts, faults: audit.Check(runs, attempts)}
+	for _, c := range r.checks {
+		r.report(c.statement, c.faults(rec))
 	}
 }
 
+// check is an expectation of the record.
+type check struct {
+	statement Statement
+	faults    func(audited) []audit.Fault
+}
+
+// audited is the record of callers and servers, with the faults of audit.Check.
+type audited struct {
+	runs     []stand.Run
+	attempts []audit.Attempt
+	faults   []audit.Fault
+}
+
+func (r *runner) later(s Statement, faults func(audited) []audit.Fault) {
+	r.checks = append(r.checks, check{s, faults})
+}
+
 func (r *runner) report(s Statement, faults []audit.Fault) {
 	for i, f := range faults {
 		if i == shownFaults {
--- a/internal/scene/statement.go
+++ b/internal/scene/statement.go
@@ -8,6 +8,8 @@
 type Statement interface {
 	// at returns the line number in the file, from 1.
 	at() int
+	// checks reports whether the statement checks anything.
+	checks() bool
 }
 
 // Line is the line number of a statement in its file, from 1.
@@ -179,10 +181,10 @@
 type Kind int
 
 const (
-	// Entry is an entry process.
-	Entry Kind = iota
-	// Server is a backend server.
-	Server
+	// EntryProcess is an entry process.
+	EntryProcess Kind = iota
+	// BackendServer is a backend server.
+	BackendServer
 )
 
 // Target names a process of the deployment, by its name or by its role when the statement is played.
--- a/internal/scene/step.go
+++ b/internal/scene/step.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/samphiredrum/samphiredrum/internal/admin"
+	"github.com/samphiredrum/samphiredrum/internal/audit"
 	"github.com/samphiredrum/samphiredrum/internal/caller"
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 )
@@ -57,8 +58,10 @@
 		r.expectConfig(s)
 	case ExpectRunning:
 		return r.expectRunning(ctx, s)
-	case ExpectPromise, ExpectNoCut:
-		r.checks = append(r.checks, s)
+	case ExpectPromise:
+		r.later(s, func(a audited) []audit.Fault { return matching(a.faults, s.Name) })
+	case ExpectNoCut:
+		r.later(s, func(a audited) []audit.Fault { return audit.Cuts(a.attempts, r.killed) })
 	case ExpectNoRun:
 		return r.expectNoRun(ctx, s)
 	}
@@ -123,7 +126,7 @@
 }
 
 func (r *runner) kill(ctx context.Context, s Kill) error {
-	if s.Target.Kind == Entry {
+	if s.Target.Kind == EntryProcess {
 		e, err := r.entry(ctx, s.Target)
 		if err != nil {
 			return err
@@ -146,7 +149,7 @@
 }
 
 func (r *runner) restart(ctx context.Context, s Restart) error {
-	if s.Target.Kind == Server {
+	if s.Target.Kind == BackendServer {
 		id, err := r.server(ctx, s.Target)
 		if err != nil {
 			return err
@@ -268,7 +271,7 @@
 	if !s.ByOperator {
 		return r.deployment.leave(id)
 	}
-	e, err := r.entry(ctx, Target{Kind: Entry, Follower: true})
+	e, err := r.entry(ctx, Target{Kind: EntryProcess, Follower: true})
 	if err != nil {
 		return err
 	}
--- a/internal/scene/words.go
+++ b/internal/scene/words.go
@@ -108,7 +108,7 @@
 
 // targetOf reads a target of one kind.
 func (w *words) targetOf(kind Kind) Target {
-	if kind == Entry {
+	if kind == EntryProcess {
 		w.literal("entry")
 		return w.entry()
 	}
@@ -119,23 +119,30 @@
 func (w *words) entry() Target {
 	switch name := w.next("the name of an entry process, decider or follower"); name {
 	case "decider":
-		return Target{Kind: Entry, Decider: true}
+		return Target{Kind: EntryProcess, Decider: true}
 	case "follower":
-		return Target{Kind: Entry, Follower: true}
+		return Target{Kind: EntryProcess, Follower: true}
 	default:
-		return Target{Kind: Entry, Name: name}
+		return Target{Kind: EntryProcess, Name: name}
 	}
 }
 
 func (w *words) server() Target {
 	name := w.next("the name of a server, or owner-of KEY")
 	if name == "owner-of" {
-		return Target{Kind: Server, OwnerOf: w.next("a key")}
+		return Target{Kind: BackendServer, OwnerOf: w.next("a key")}
 	}
-	return Target{Kind: Server, Name: name}
+	return Target{Kind: BackendServer, Name: name}
 }
 
-// promises returns what may stand after "expect promise".
+// promises returns what may stand after "expect promise". The two other promises have statements of
+// their own.
 func promises() []string {
-	return append([]string{"all"}, audit.PromiseStrings()...)
+	names := []string{"all"}
+	for _, p := range audit.PromiseValues() {
+		if p != audit.LeavingServer && p != audit.Uninterrupted {
+			names = append(names, p.String())
+		}
+	}
+	return names
 }
