--- a/internal/entry/retry_test.go
+++ b/internal/entry/retry_test.go
@@ -88,13 +88,14 @@
 	router := entry.NewRouter(entry.Config{Self: "entry-1", Clock: now})
 	router.Lend(now.Latest().Add(time.Minute))
 	listed := assign.Server{ID: "ledger-1", Service: "yards/ledger", Address: netip.MustParseAddrPort("127.0.0.1:1"), Fencing: assign.None}
-	gate := limit.NewGate(limit.GateConfig{Server: listed.ID, Ceiling: 2, Length: 8}, nil, now)
+	calls := limit.NewCalls(limit.CallsConfig{})
+	gate := limit.NewGate(limit.GateConfig{Server: listed.ID, Ceiling: 2, Length: 8}, calls, now)
 	service := &entry.Service{
 		Service: conf.Service{ID: listed.Service, Exclusive: true, Fencing: assign.None},
 		Members: map[assign.ServerID]*entry.Server{
 			listed.ID: entry.NewServer(listed, client, gate, lease.DefaultMargin),
 		},
-		Calls: limit.NewCalls(limit.CallsConfig{}),
+		Calls: calls,
 	}
 	place := assign.Place{Span: assign.Span{To: ^uint64(0)}, Owners: []assign.ServerID{listed.ID}, Base: 1}
 	router.Publish(&entry.View{
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -70,7 +70,7 @@
 		return answered(answer)
 	}
 	if f != nil && back.KindOf(err) == back.Unknown && !s.ended(c, server) {
-		server.hold(f, incarnation, deadline.Sub(now))
+		server.hold(f, incarnation, attemptID(c), deadline.Sub(now))
 	} else {
 		leave(f)
 	}
@@ -87,7 +87,7 @@
 func (s *send) request(c *Call, notAfter time.Time) back.Call {
 	exclusive := c.target.holding.Base != 0
 	return back.Call{
-		RequestID: c.ID + "." + strconv.Itoa(c.Attempt),
+		RequestID: attemptID(c),
 		Method:    c.Method,
 		Path:      c.Path,
 		Query:     c.Query,
@@ -123,19 +123,12 @@
 	if server.Fencing != assign.None {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), cancelTime)
-	defer cancel()
-	outcome, err := server.Client.Cancel(ctx, c.ID+"."+strconv.Itoa(c.Attempt))
-	if err != nil {
-		return false
-	}
-	switch outcome {
-	case back.CancelNotRun, back.CancelCancelled, back.CancelFinished:
-		return true
-	case back.CancelUnknown, back.CancelRunning:
-		return false
-	}
-	return false
+	return ended(context.Background(), server.Client, attemptID(c))
+}
+
+// attemptID returns the identifier of the last attempt of a call, as the server knows it.
+func attemptID(c *Call) string {
+	return c.ID + "." + strconv.Itoa(c.Attempt)
 }
 
 // failed returns the result of an attempt without an answer.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +32,8 @@
 type unresolved struct {
 	flight      *flight
 	incarnation string
+	// request is the identifier that the call was sent with.
+	request string
 }
 
 // NewServer returns the runtime state of a server.
@@ -93,8 +97,56 @@
 	return s.clock.NotAfter(deadline)
 }
 
+// Settle asks the server what became of the calls without an answer, and ends those that it runs no
+// more. It is called while the server answers: one that was frozen when the calls got no answer has
+// worked on them since.
+func (s *Server) Settle(ctx context.Context) {
+	for _, u := range s.pending() {
+		if ended(ctx, s.Client, u.request) {
+			s.settled(u.request)
+		}
+	}
+}
+
+// pending returns the calls without an answer.
+func (s *Server) pending() []unresolved {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.unresolved)
+}
+
+// settled ends a call without an answer, unless that was done meanwhile.
+func (s *Server) settled(request string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, u := range s.unresolved {
+		if u.request == request {
+			s.unresolved = slices.Delete(s.unresolved, i, i+1)
+			u.flight.leave()
+			return
+		}
+	}
+}
+
+// ended reports whether the server confirms that it runs a call no more.
+func ended(ctx context.Context, server back.Server, request string) bool {
+	ctx, cancel := context.WithTimeout(ctx, cancelTime)
+	defer cancel()
+	outcome, err := server.Cancel(ctx, request)
+	if err != nil {
+		return false
+	}
+	switch outcome {
+	case back.CancelNotRun, back.CancelCancelled, back.CancelFinished:
+		return true
+	case back.CancelUnknown, back.CancelRunning:
+		return false
+	}
+	return false
+}
+
 // hold keeps a call without an answer in flight until the server can no longer run it.
-func (s *Server) hold(f *flight, incarnation string, notAfter time.Duration) {
+func (s *Server) hold(f *flight, incarnation, request string, notAfter time.Duration) {
 	switch s.Fencing {
 	case assign.Grants:
 		// The server's own grant ends before another owner starts.
@@ -104,6 +156,6 @@
 	case assign.None:
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.unresolved = append(s.unresolved, unresolved{flight: f, incarnation: incarnation})
+		s.unresolved = append(s.unresolved, unresolved{flight: f, incarnation: incarnation, request: request})
 	}
 }
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -167,6 +167,7 @@
 		return
 	}
 	w.server.Observe(health.Receipt)
+	w.server.Settle(w.ctx)
 	if w.choice == nil {
 		return
 	}
