--- a/internal/scene/parse.go
+++ b/internal/scene/parse.go
@@ -23,6 +23,7 @@
 	"kill":    func(w *words) Statement { return Kill{w.line, w.target()} },
 	"restart": func(w *words) Statement { return Restart{w.line, w.target()} },
 	"freeze":  func(w *words) Statement { return Freeze{w.line, w.targetOf(BackendServer), w.duration()} },
+	"fault":   parseFault,
 	"pause":   func(w *words) Statement { return Pause{w.line, w.targetOf(EntryProcess), w.duration()} },
 	"drain":   parseDrain,
 	"stop":    func(w *words) Statement { return Stop{w.line, w.targetOf(EntryProcess)} },
@@ -138,6 +139,13 @@
 	return s
 }
 
+func parseFault(w *words) Statement {
+	s := Fault{Line: w.line, Target: w.targetOf(BackendServer)}
+	s.Name = w.oneOf(w.next("a fault"), "cross-answers", "truncate", "ignore-deadline", "lie-load")
+	s.On = w.onOff()
+	return s
+}
+
 func parseDrain(w *words) Statement {
 	s := Drain{Line: w.line, Target: w.targetOf(BackendServer)}
 	if w.more() {
--- a/internal/scene/sealed.go
+++ b/internal/scene/sealed.go
@@ -23,3 +23,4 @@
 func (ExpectConfig) checks() bool      { return true }
 func (ExpectNoCut) checks() bool       { return true }
 func (ExpectRunning) checks() bool     { return true }
+func (Fault) checks() bool             { return false }
--- a/internal/scene/statement.go
+++ b/internal/scene/statement.go
@@ -52,6 +52,15 @@
 	Length time.Duration
 }
 
+// Fault switches a fault of a backend server.
+type Fault struct {
+	Line
+	Target Target
+	// Name is a switch of stand.BackendFault as its JSON names it.
+	Name string
+	On   bool
+}
+
 // Pause stops an entry process with SIGSTOP, and lets it go on with SIGCONT.
 type Pause struct {
 	Line
--- a/internal/scene/step.go
+++ b/internal/scene/step.go
@@ -28,6 +28,8 @@
 		return r.restart(ctx, s)
 	case Freeze:
 		return r.freeze(ctx, s)
+	case Fault:
+		return r.fault(ctx, s)
 	case Pause:
 		return r.pause(ctx, s)
 	case Cut:
@@ -212,6 +214,16 @@
 	return nil
 }
 
+func (r *runner) fault(ctx context.Context, s Fault) error {
+	id, err := r.server(ctx, s.Target)
+	if err != nil {
+		return err
+	}
+	r.print(s.at(), "event=fault server=%s fault=%s on=%t", id, s.Name, s.On)
+	body := fmt.Sprintf(`{%q:%t}`, s.Name, s.On)
+	return r.deployment.fault(r.deployment.servers[id].server.Address, "/stand/fault", body)
+}
+
 func (r *runner) pause(ctx context.Context, s Pause) error {
 	e, err := r.entry(ctx, s.Target)
 	if err != nil {
