--- a/internal/bench/crest.go
+++ b/internal/bench/crest.go
@@ -87,7 +87,7 @@
 
 // queuedWorkers is the number of calls that wait at each server during the calibration, so that no
 // slot is idle while an answer travels.
-const queuedWorkers = 6
+const queuedWorkers = 18
 
 // crestOf measures one way at every demand and in a swing.
 func (s *session) crestOf(w way, service string, capacity float64) {
@@ -97,7 +97,7 @@
 		if d == 1 {
 			atCapacity = goodput
 		}
-		if d == 2 {
+		if d == 2 && atCapacity > 0 {
 			ratio := goodput / atCapacity
 			s.print("way=%s service=%s summary=true goodput-ratio-2x-to-1x=%.3f target=%.2f met=%t",
 				w.name, service, ratio, crestTarget, ratio >= crestTarget)
