--- a/pkg/elect/schedule_test.go
+++ b/pkg/elect/schedule_test.go
@@ -25,6 +25,8 @@
 	// recovery bounds the time without a decider after the last fault: the lapse of a promise, two
 	// failed rounds and the amnesia wait fit in it.
 	recovery = 3 * time.Second
+	// servingLease is the right of an entry process to forward, see docs/design.md 2.4.
+	servingLease = 2 * time.Second
 	// seedVariable names the environment variable that runs one schedule and prints its events.
 	seedVariable = "ELECT_SEED"
 )
@@ -48,6 +50,32 @@
 	n.expectRecovery()
 }
 
+// changingElectors changes the elector set as often as it may, while processes restart and the
+// decider is cut off.
+func changingElectors(n *network) {
+	n.run(faultsFrom)
+	for n.now < faultsUntil {
+		n.run(n.now + n.upTo(60*time.Millisecond))
+		nd := n.nodes[n.random.IntN(len(n.nodes))]
+		switch n.random.IntN(12) {
+		case 0, 1, 2, 3, 4, 5:
+			n.changeElectorSet(nd)
+		case 6:
+			if n.mayRestart(nd) {
+				n.restart(nd, n.random.IntN(3) == 0)
+			}
+		case 7:
+			n.cut(nd, n.nodes[n.random.IntN(len(n.nodes))], n.now+n.upTo(2*time.Second))
+		case 8:
+			if d := n.decider(); d != nil && n.random.IntN(4) == 0 {
+				n.isolate(d, n.upTo(2*time.Second), n.random.IntN(2) == 0, n.random.IntN(2) == 0)
+			}
+		}
+	}
+	n.heal()
+	n.expectRecovery()
+}
+
 func (n *network) expectRecovery() {
 	end := n.now + recovery
 	for n.now < end && n.decider() == nil {
@@ -212,6 +240,30 @@
 	}
 }
 
+// lostDeciders ends one decider after another and expects a new one while the serving leases that
+// the lost one gave are still valid.
+func lostDeciders(n *network) {
+	n.run(2 * time.Second)
+	for range 5 {
+		lost := n.decider()
+		if lost == nil {
+			n.fault("no decider to end")
+			return
+		}
+		lost.down = true
+		from := n.now
+		for n.decider() == nil && n.now-from < servingLease {
+			n.run(n.now + 10*time.Millisecond)
+		}
+		if n.decider() == nil {
+			n.fault("no decider %v after the loss of %s", servingLease, lost.id)
+		}
+		n.log("no decider for %v", n.now-from)
+		n.restart(lost, false)
+		n.run(n.now + 2*time.Second)
+	}
+}
+
 // size is a number of processes, electors and schedules.
 type size struct{ processes, electors, schedules int }
 
@@ -277,6 +329,13 @@
 		Entry(nil, size{11, 11, 1500}),
 	)
 
+	// Guards against majorities of successive elector sets that do not intersect.
+	DescribeTable("with changing electors", func(s size) { runSchedules(s, changingElectors) },
+		func(s size) string { return s.String() },
+		Entry(nil, size{6, 3, 4000}),
+		Entry(nil, size{7, 5, 2000}),
+	)
+
 	// Guards against a returning process or a half-cut link that deposes a healthy decider.
 	DescribeTable("with a flapping minority", func(s size) { runSchedules(s, flappingMinority) },
 		func(s size) string { return s.String() },
@@ -285,6 +344,15 @@
 		Entry(nil, size{11, 11, 300}),
 	)
 
+	// Guards against an election that outlasts the serving leases, so that the loss of the decider
+	// alone refuses calls.
+	DescribeTable("with lost deciders", func(s size) { runSchedules(s, lostDeciders) },
+		func(s size) string { return s.String() },
+		Entry(nil, size{3, 3, 500}),
+		Entry(nil, size{5, 5, 300}),
+		Entry(nil, size{11, 11, 100}),
+	)
+
 	// Guards against a planned stop that makes the cell wait for the lapse of the term.
 	DescribeTable("with planned stops", func(s size) { runSchedules(s, plannedStops) },
 		func(s size) string { return s.String() },
