Renew grants every second heartbeat, look at servers every 2 s, build the list of owners on demand

Ruled out: heartbeats, at 3 KB/s per process (slope over processes). The recorded scripts of pkg/owner differ only in the times of renewals.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -289,5 +289,9 @@
 
 // Status returns the last snapshot of the process's control state.
 func (n *Node) Status() *Status {
-	return n.status.Load()
+	status := *n.status.Load()
+	if status.table != nil {
+		status.Owners = owners(status.table)
+	}
+	return &status
 }
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -139,7 +139,7 @@
 
 func (n *Node) tellDecider(ctx context.Context, team peer.Team) peer.ChangedAnswer {
 	request := peer.ChangedRequest{Header: n.header(), Team: team}
-	decider := n.Status().Decider
+	decider := n.status.Load().Decider
 	if decider == n.settings.Name {
 		return n.Changed(request)
 	}
@@ -158,7 +158,7 @@
 // ErrNoServer.
 func (n *Node) DrainServer(ctx context.Context, id assign.ServerID, cancel bool) error {
 	request := peer.DrainRequest{Header: n.header(), Server: id, Cancel: cancel}
-	decider := n.Status().Decider
+	decider := n.status.Load().Decider
 	answer := peer.DrainAnswer{}
 	switch l := n.links[decider]; {
 	case decider == n.settings.Name:
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -17,8 +17,10 @@
 )
 
 const (
-	// watchInterval is the time between two looks of each process at each server.
-	watchInterval = time.Second
+	// watchInterval is the time between two looks of each process at each server. A mapping of the
+	// server's clock loses 1% of its age, so an older one costs little; answers to calls renew it
+	// as well.
+	watchInterval = 2 * time.Second
 	// vmInterval is the time between two reads of the VM list by the decider.
 	vmInterval = 2 * time.Second
 	// longShare is the part of a server's slots that long work may use: 2 of 6.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -32,6 +32,7 @@
 	Identifiers int `json:"identifiers"`
 
 	takenAt time.Time
+	table   *assign.Table
 }
 
 // Owner is the ownership of one span.
@@ -56,7 +57,7 @@
 // publishStatus takes a snapshot where the last one is old.
 func (c *control) publishStatus() {
 	now := c.node.clock.Now()
-	if now.Sub(c.node.Status().takenAt) < statusInterval {
+	if now.Sub(c.node.status.Load().takenAt) < statusInterval {
 		return
 	}
 	s := &Status{
@@ -71,9 +72,7 @@
 		Recording:   c.held != nil,
 		Identifiers: c.node.recorder.size(),
 		takenAt:     now,
-	}
-	if t := c.follower.Table(); t != nil {
-		s.Owners = owners(t)
+		table:       c.follower.Table(),
 	}
 	for id, m := range c.servers.members {
 		load := m.Gate.Load()
--- a/pkg/owner/grants.go
+++ b/pkg/owner/grants.go
@@ -17,7 +17,7 @@
 	work := d.grantable()
 	d.beats++
 	for _, id := range d.serverIDs() {
-		if spans := work[id]; len(spans) > 0 {
+		if spans := work[id]; len(spans) > 0 && d.beats%d.renewEvery() == 0 {
 			d.sendGrant(now, id, spans)
 		}
 		if len(work[id]) == 0 || d.beats%probeEvery == 0 {
@@ -26,6 +26,13 @@
 	}
 }
 
+// renewEvery returns the number of beats between two renewals of a grant: as many as leave room for
+// one lost answer before the server counts as silent. A renewal names every span of its server, so
+// renewals are most of what the decider sends.
+func (d *Decider) renewEvery() uint64 {
+	return max(1, uint64(d.config.Silence/(2*d.config.Beat)))
+}
+
 // grantable returns the spans of each server that its next grant names.
 func (d *Decider) grantable() map[assign.ServerID][]*span {
 	work := make(map[assign.ServerID][]*span)
