Take tables and leases only for the run they are meant for

An old table that reached a restarted elector could hide one that its earlier run had acknowledged. A pause of the decider no longer delays the detection of silence beyond the silence time.

--- a/pkg/owner/actions.go
+++ b/pkg/owner/actions.go
@@ -14,13 +14,13 @@
 type SendBeat struct {
 	Process assign.ProcessID
 	Term    uint64
-	// Incarnation is the run the lease is meant for.
+	// Incarnation is the run that the table and the lease are meant for, "" where none is known.
 	Incarnation string
 	// Echo is the process's last timestamp, the zero time where none is known.
 	Echo time.Time
 	// Length is that of the serving lease, 0 where none is given.
 	Length time.Duration
-	// Table is set where the process has not acknowledged its version.
+	// Table is set where the run has not acknowledged its version.
 	Table *assign.Table
 }
 
--- a/pkg/owner/decider.go
+++ b/pkg/owner/decider.go
@@ -203,8 +203,8 @@
 	d.beatDue = true
 }
 
-// forgivePause moves the last answers of servers forward by the time this process was paused:
-// their answers may wait in its queue.
+// forgivePause moves the last answers of servers forward by the time this process was paused, at most
+// to now: their answers may wait in its queue.
 func (d *Decider) forgivePause(now time.Time) {
 	gap := now.Sub(d.lastTick)
 	if d.lastTick.IsZero() || gap <= 2*d.config.Beat {
@@ -212,6 +212,9 @@
 	}
 	for _, s := range d.servers {
 		s.heard = s.heard.Add(gap - d.config.Beat)
+		if s.heard.After(now) {
+			s.heard = now
+		}
 	}
 }
 
--- a/pkg/owner/follower.go
+++ b/pkg/owner/follower.go
@@ -11,7 +11,10 @@
 // FollowerEvent is an input of a Follower.
 type FollowerEvent interface{ followerEvent() }
 
-// BeatReceived is a heartbeat of a decider, from its SendBeat.
+// BeatReceived is a heartbeat of a decider, from its SendBeat. One that is meant for another run of
+// the process is answered, and its table and lease are not taken: it may have been sent before this
+// run started, and an elector that took an old table for the current one would hide a later one that
+// its earlier run acknowledged.
 type BeatReceived struct {
 	From        assign.ProcessID
 	Term        uint64
@@ -144,6 +147,9 @@
 	}
 	f.term = e.Term
 	f.decider = e.From
+	if e.Incarnation != f.incarnation {
+		return []FollowerAction{f.answer(latest)}
+	}
 	actions := f.apply(e.Table)
 	f.extend(e)
 	if len(actions) > 0 {
@@ -152,11 +158,10 @@
 	return []FollowerAction{f.answer(latest)}
 }
 
-// extend takes the lease of a heartbeat. An echo of an earlier run of this process is ignored: its
-// clock is not comparable.
+// extend takes the lease of a heartbeat, if its echo is a timestamp of this run.
 func (f *Follower) extend(e BeatReceived) {
 	own := !e.Echo.Before(f.first) && !e.Echo.After(f.last) && !f.first.IsZero()
-	if e.Length > 0 && e.Incarnation == f.incarnation && own {
+	if e.Length > 0 && own {
 		f.held.Extend(e.Echo, e.Length)
 	}
 }
--- a/pkg/owner/runs.go
+++ b/pkg/owner/runs.go
@@ -175,7 +175,7 @@
 // heartbeat, the lease of a silent process would never lapse.
 func (d *Decider) sendBeat(id assign.ProcessID) {
 	beat := SendBeat{Process: id, Term: d.term}
-	r := d.current[id]
+	r := d.latest(id)
 	if r != nil {
 		beat.Incarnation = r.Incarnation
 		beat.Echo = r.echo
@@ -184,12 +184,25 @@
 			r.given.Extend(r.echoAt, beat.Length, d.config.Margin)
 		}
 	}
-	if d.table != nil && (r == nil || r.acked < d.table.Version) {
+	if d.table != nil && r != nil && r.acked < d.table.Version {
 		beat.Table = d.table
 	}
 	d.act(beat)
 }
 
+// latest returns the run that answered in this term, or the one that was listed last before.
+func (d *Decider) latest(id assign.ProcessID) *run {
+	if r := d.current[id]; r != nil {
+		return r
+	}
+	for i := len(d.runs) - 1; i >= 0; i-- {
+		if d.runs[i].Process == id && !d.runs[i].ended {
+			return d.runs[i]
+		}
+	}
+	return nil
+}
+
 // mayLend reports whether the run may get a serving lease: the next decider must know it.
 func (d *Decider) mayLend(r *run) bool {
 	return !r.ended && !r.echo.IsZero() && d.Held(r.listed)
