--- a/pkg/dedup/reserve.go
+++ b/pkg/dedup/reserve.go
@@ -23,6 +23,12 @@
 	if m.answered && m.status == New {
 		return nil
 	}
+	// A recorder that answers after the deadline may have forgotten an identifier whose window ended
+	// meanwhile, so that it cannot vouch for this attempt any more.
+	late := !now.Before(b.config.Deadline)
+	if late && (e.Reserved.Status == New || e.Reserved.Status == Full) {
+		return b.giveUpReserving(now, ReasonDeadline)
+	}
 	m.answered = true
 	m.status = e.Reserved.Status
 	if m.status == Finished {
@@ -54,12 +60,14 @@
 
 // progress decides whether the reservation has succeeded or failed, and repeats what is due.
 func (b *Booking) progress(now time.Time) []BookingAction {
-	if b.complete() {
-		return b.send(now)
-	}
 	if !now.Before(b.config.Deadline) {
 		return b.giveUpReserving(now, ReasonRecorders)
 	}
+	if b.complete() {
+		b.phase = calling
+		b.sent = true
+		return []BookingAction{SendCall{}}
+	}
 	if c, ok := b.refused(now); ok {
 		return b.conclude(now, c)
 	}
@@ -76,15 +84,6 @@
 	return len(b.members) > 0
 }
 
-func (b *Booking) send(now time.Time) []BookingAction {
-	if !now.Before(b.config.Deadline) {
-		return b.conclude(now, Conclude{Outcome: NotRun, Reason: ReasonDeadline, Wait: b.config.RetryWait})
-	}
-	b.phase = calling
-	b.sent = true
-	return []BookingAction{SendCall{}}
-}
-
 // refused returns the conclusion from refusals that more waiting does not change. Within the
 // first RetryWait it waits for the other recorders, one of which may have the stored answer.
 func (b *Booking) refused(now time.Time) (Conclude, bool) {
--- a/pkg/dedup/types.go
+++ b/pkg/dedup/types.go
@@ -147,7 +147,7 @@
 	ReasonFull
 	// ReasonRecorders is a bucket of which not all recorders answered in time.
 	ReasonRecorders
-	// ReasonDeadline is a reservation that was complete only after the deadline.
+	// ReasonDeadline is a recorder that answered only after the deadline.
 	ReasonDeadline
 	// ReasonIdentifier is an identifier that is empty or too long.
 	ReasonIdentifier
