--- a/internal/bench/load_test.go
+++ b/internal/bench/load_test.go
@@ -78,6 +78,12 @@
 		Expect(n).To(Equal(2))
 	})
 
+	// Guards against one line for each refused call, since refusals name the time until a repeat.
+	It("groups refusals by their fault", func() {
+		Expect(fault("server a-1 cannot answer by the deadline; repeat the call in 18ms")).To(Equal("server a-1 cannot answer by the deadline"))
+		Expect(fault("503")).To(Equal("503"))
+	})
+
 	// Guards against a swing that is slower or lower than the lines say.
 	It("swings by its factor within its time", func() {
 		Expect(ramp(0)).To(Equal(1 / swingFactor))
--- a/internal/bench/probe.go
+++ b/internal/bench/probe.go
@@ -85,7 +85,7 @@
 		p.served = p.served || since
 		p.gap(time.Now())
 	case answer.Outcome == caller.NotRun && since:
-		p.refused[answer.Reason]++
+		p.refused[fault(answer.Reason)]++
 	case since:
 		p.failed++
 	}
--- a/internal/bench/sender.go
+++ b/internal/bench/sender.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -54,13 +55,20 @@
 	if err != nil {
 		return answer{refused: a.Outcome == caller.NotRun, reason: err.Error()}
 	}
-	return answer{ran: a.Outcome == caller.Ran && a.Status < 300, refused: a.Outcome == caller.NotRun, reason: a.Reason}
+	return answer{ran: a.Outcome == caller.Ran && a.Status < 300, refused: a.Outcome == caller.NotRun, reason: fault(a.Reason)}
 }
 
 func (e *entries) close() {
 	e.client.Close()
 }
 
+// fault returns the part of a refusal's text that names the fault. The rest is a remedy with times
+// that differ from call to call.
+func fault(reason string) string {
+	name, _, _ := strings.Cut(reason, ";")
+	return name
+}
+
 // direct sends calls straight to the servers: the baseline without limits.
 type direct struct {
 	client  *caller.Client
