Drain servers everywhere and wait for the new owner of a key instead of refusing

Cause: only the decider knew which servers leave by the list of VMs or by an operator's order, so servers of services without owners kept getting calls from the other processes; and calls to a draining owner were refused until its keys had moved. Heartbeats now carry both sets, which a new decider takes over; a refusal because the key is moving waits for the next table and tells the decider to look at once. Clocks of servers with owners are read before the first call after a pause instead of every 2 s by every process.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -92,6 +92,8 @@
 
 	// target is set by the route filter.
 	target target
+	// moved counts the attempts that were refused because the key was moving.
+	moved int
 	// last is the server of the previous attempt.
 	last assign.ServerID
 }
@@ -111,6 +113,9 @@
 
 	// shed is set where the server refused the call because of its load.
 	shed bool
+	// moving is set where the server refused the call because it does not own the key any more, or
+	// not yet.
+	moving bool
 }
 
 // Next is the rest of the pipeline.
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -36,7 +36,11 @@
 			// The attempt was not sent; it costs the server nothing and is not paid for.
 			continue
 		}
-		if !mayRepeat(c, result) || c.Attempt >= maxAttempts || ctx.Err() != nil {
+		if result.moving && r.awaitMove(ctx) {
+			c.moved++
+			continue
+		}
+		if !mayRepeat(c, result) || c.Attempt-c.moved >= maxAttempts || ctx.Err() != nil {
 			return certain(lost, result)
 		}
 		if !service.Calls.Retry() {
@@ -48,6 +52,22 @@
 	}
 }
 
+// movePause is the longest time between two attempts of a call whose key is moving.
+const movePause = 100 * time.Millisecond
+
+// awaitMove waits for another table, for a short time in case the owner only waits for its grant.
+// It reports false where the context ends first.
+func (r *retry) awaitMove(ctx context.Context) bool {
+	timer := time.NewTimer(movePause)
+	defer timer.Stop()
+	select {
+	case <-r.router.View().replaced:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
 // certain returns the result of a call whose earlier attempt lost its answer: where the later attempt
 // was not run, the call may still have run in the earlier one.
 func certain(lost, result Result) Result {
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -47,6 +47,9 @@
 // exchange sends the call and ends its count in flight where the server can no longer run it.
 func (s *send) exchange(ctx context.Context, c *Call, f *flight) Result {
 	server := c.target.server
+	if f != nil && server.Fencing != assign.None {
+		server.Refresh(ctx, s.router.config.Clock.Now())
+	}
 	now := s.router.config.Clock.Now()
 	deadline := c.Deadline
 	// The lease is read on Latest, which may be ahead of Now; what is left of it is the same on both.
@@ -154,6 +157,11 @@
 	result := refuse(ReasonRefused, "the server refused the call ("+reason.String()+"); repeat it later")
 	result.RetryAfter = waitForServer
 	result.shed = reason == back.Shedding || reason == back.Cold
+	if c.target.holding.Base != 0 && (reason == back.Draining || reason == back.NoGrant || reason == back.StaleFence) {
+		// The key is about to move, or its new owner has not got its grant yet.
+		result.moving = true
+		s.suspect(c)
+	}
 	return result
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -20,6 +20,11 @@
 	// Gate bounds and orders the calls to it.
 	Gate *limit.Gate
 
+	// looking is held during a look at the server's clock.
+	looking sync.Mutex
+	// failedAt is the time until which a failed look stands. It belongs to the holder of looking.
+	failedAt time.Time
+
 	mu    sync.Mutex
 	clock *lease.ServerClock
 	// observedAt is when the answer of the last reading arrived.
@@ -63,6 +68,42 @@
 	}
 }
 
+// freshClock is the age below which a reading of the server's clock is used as it is. The mapping
+// loses 1% of its age, here 50 ms.
+const freshClock = 5 * time.Second
+
+// lookTime bounds a look at the server's clock before a call.
+const lookTime = 200 * time.Millisecond
+
+// Refresh reads the server's clock where no fresh reading is known, as before the first call after
+// a pause. Calls that arrive meanwhile wait for the same reading.
+func (s *Server) Refresh(ctx context.Context, now time.Time) {
+	if s.fresh(now) {
+		return
+	}
+	s.looking.Lock()
+	defer s.looking.Unlock()
+	// Calls that waited for a look which failed do not wait for one of their own.
+	if s.fresh(now) || now.Before(s.failedAt) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, lookTime)
+	defer cancel()
+	health, err := s.Client.Health(ctx)
+	if err != nil {
+		s.failedAt = now.Add(lookTime)
+		return
+	}
+	s.Observe(health.Receipt)
+}
+
+func (s *Server) fresh(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, known := s.clock.NotAfter(now)
+	return known && now.Sub(s.observedAt) < freshClock
+}
+
 // Ended takes over the proof that the server's process has ended.
 func (s *Server) Ended() {
 	s.mu.Lock()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/samphiredrum/samphiredrum/internal/fleet"
 	"github.com/samphiredrum/samphiredrum/internal/node"
 	"github.com/samphiredrum/samphiredrum/internal/stand"
+	"github.com/samphiredrum/samphiredrum/internal/store"
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 )
 
@@ -107,6 +108,23 @@
 		Expect(f.Node(name).Status().Process).To(Equal(name))
 	})
 
+	// Guards against a server without owned keys that goes on getting calls, because only the decider
+	// reads the list of VMs and hears of an operator's order.
+	It("drains servers everywhere, also after the loss of the decider", func() {
+		f.Platform().SetVMs([]store.VM{{Name: "returns-2", Role: store.Backend, State: store.Leaving}})
+		Expect(f.Node("entry-1").DrainServer(ctx, "returns-3", false)).To(Succeed())
+		for _, name := range f.Names() {
+			Eventually(draining(f.Node(name))).WithTimeout(patience).Should(ConsistOf("returns-2", "returns-3"))
+		}
+		before := f.Decider()
+		Expect(before).NotTo(BeEmpty())
+		f.Kill(before)
+		Eventually(f.Decider).WithTimeout(patience).ShouldNot(BeEmpty())
+		Consistently(draining(f.Node(f.Decider()))).WithTimeout(time.Second).Should(ConsistOf("returns-2", "returns-3"))
+		Expect(f.Restart(before)).To(Succeed())
+		Eventually(draining(f.Node(before))).WithTimeout(patience).Should(ConsistOf("returns-2", "returns-3"))
+	})
+
 	// Guards against bad input that disturbs a process or gets an answer without a remedy.
 	DescribeTable("refuses bad input as not run", func(method, path string, status int) {
 		answer, err := caller.New(caller.Options{}).Do(f.Node("entry-1").CallerAddress(), caller.Call{
@@ -125,6 +143,19 @@
 	)
 })
 
+// draining returns a function that names the servers that a process sees draining.
+func draining(n *node.Node) func() []string {
+	return func() []string {
+		var ids []string
+		for _, s := range n.Status().Servers {
+			if s.Leaving {
+				ids = append(ids, string(s.Server))
+			}
+		}
+		return ids
+	}
+}
+
 // edited returns the text with another contact.
 func edited(text []byte, contact string) []byte {
 	return []byte(strings.Replace(string(text), "contact = desk", "contact = "+contact, 1))
--- a/internal/node/beat.go
+++ b/internal/node/beat.go
@@ -24,6 +24,8 @@
 		Table:           a.Table,
 		Held:            c.heldVersion(),
 		Versions:        c.teams.versions(),
+		Leaving:         names(c.servers.leaving),
+		Ordered:         names(c.servers.ordered),
 	}
 	// A process whose versions are not known gets every team: its lease must not outlive a
 	// configuration that it has not applied.
@@ -72,6 +74,7 @@
 func (c *control) followBeat(r peer.BeatRequest) peer.BeatAnswer {
 	c.teams.merge(r.Teams)
 	c.applyTeams()
+	c.setDraining(setOf(r.Leaving), setOf(r.Ordered))
 	learned := c.machine.Learned()
 	c.countInFlight()
 	answer := c.follow(owner.BeatReceived{
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/samphiredrum/samphiredrum/internal/peer"
-	"github.com/samphiredrum/samphiredrum/pkg/owner"
 )
 
 // Claim implements peer.Handler.
@@ -88,7 +87,7 @@
 func (n *Node) Drain(request peer.DrainRequest) peer.DrainAnswer {
 	n.logical.Witness(request.Logical)
 	reply := make(chan bool, 1)
-	m := drainServer{event: owner.DrainServer{Server: request.Server, Cancel: request.Cancel}, reply: reply}
+	m := drainServer{server: request.Server, cancel: request.Cancel, reply: reply}
 	if !n.post(m) {
 		return peer.DrainAnswer{}
 	}
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -98,8 +98,9 @@
 
 // drainServer asks to drain a server, or to use it again.
 type drainServer struct {
-	event owner.DrainServer
-	reply chan bool
+	server assign.ServerID
+	cancel bool
+	reply  chan bool
 }
 
 // drainSelf hands over what this process does for the cell.
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -8,18 +8,15 @@
 	"github.com/samphiredrum/samphiredrum/internal/back"
 	"github.com/samphiredrum/samphiredrum/internal/conf"
 	"github.com/samphiredrum/samphiredrum/internal/entry"
-	"github.com/samphiredrum/samphiredrum/internal/store"
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
-	"github.com/samphiredrum/samphiredrum/pkg/event"
 	"github.com/samphiredrum/samphiredrum/pkg/limit"
 	"github.com/samphiredrum/samphiredrum/pkg/owner"
 	"github.com/samphiredrum/samphiredrum/pkg/pick"
 )
 
 const (
-	// watchInterval is the time between two looks of each process at each server. A mapping of the
-	// server's clock loses 1% of its age, so an older one costs little; answers to calls renew it
-	// as well.
+	// watchInterval is the time between two looks of each process at each server of a service
+	// without owners.
 	watchInterval = 2 * time.Second
 	// vmInterval is the time between two reads of the VM list by the decider.
 	vmInterval = 2 * time.Second
@@ -32,7 +29,10 @@
 	node     *Node
 	services map[assign.ServiceID]*entry.Service
 	members  map[assign.ServerID]*member
-	leaving  map[assign.ServerID]bool
+	// leaving are the servers that leave by the list of VMs, ordered those that operators drain. The
+	// decider tells both in its heartbeats, so that they outlive it.
+	leaving map[assign.ServerID]bool
+	ordered map[assign.ServerID]bool
 }
 
 // member is a server with the watcher of its health.
@@ -49,6 +49,7 @@
 		services: make(map[assign.ServiceID]*entry.Service),
 		members:  make(map[assign.ServerID]*member),
 		leaving:  make(map[assign.ServerID]bool),
+		ordered:  make(map[assign.ServerID]bool),
 	}
 }
 
@@ -125,12 +126,21 @@
 func (s *servers) listed(settings conf.Service) []assign.Server {
 	list := make([]assign.Server, len(settings.Servers))
 	for i, server := range settings.Servers {
-		server.Draining = server.Draining || s.leaving[server.ID]
+		server.Draining = server.Draining || s.leaving[server.ID] || s.ordered[server.ID]
 		list[i] = server
 	}
 	return list
 }
 
+// refresh tells the choice of servers which of them drain.
+func (s *servers) refresh() {
+	for _, service := range s.services {
+		if service.Choice != nil {
+			service.Choice.Update(s.node.clock.Now(), s.listed(service.Service))
+		}
+	}
+}
+
 func (s *servers) close() {
 	for _, m := range s.members {
 		m.watcher.cancel()
@@ -151,11 +161,15 @@
 	return &watcher{node: n, server: server, choice: choice, ctx: ctx, cancel: cancel}
 }
 
+// loop looks at servers of services without owners, whose load is compared. The clock of a server
+// that owns keys is read with answers to calls and before a call after a pause, see entry, so an
+// idle process sends nothing to it.
 func (w *watcher) loop() {
-	for w.ctx.Err() == nil {
+	for w.choice != nil && w.ctx.Err() == nil {
 		w.look()
 		wait(w.ctx, watchInterval)
 	}
+	<-w.ctx.Done()
 	if closer, ok := w.server.Client.(interface{ Close() error }); ok {
 		_ = closer.Close()
 	}
@@ -239,66 +253,3 @@
 	}
 	c.decide(owner.ServersListed{Servers: c.exclusiveServers(), Budgets: budgets})
 }
-
-// readVMs reads the list of VMs while this process is the decider.
-func (c *control) readVMs(now time.Time) {
-	if c.leading == nil || now.Sub(c.leading.vmsAt) < vmInterval {
-		return
-	}
-	c.leading.vmsAt = now
-	c.node.group.Go((&vmsTask{node: c.node}).run)
-}
-
-// vmsTask reads the list of VMs.
-type vmsTask struct{ node *Node }
-
-func (t *vmsTask) run() {
-	ctx, cancel := context.WithTimeout(t.node.ctx, t.node.settings.Timing.StoreTimeout)
-	defer cancel()
-	vms, err := t.node.api.VMs(ctx)
-	if err != nil {
-		return
-	}
-	t.node.post(vmsRead{vms: vms})
-}
-
-// vmsRead takes over which backend servers are leaving. The list lags, so a missing VM is no proof
-// by itself.
-func (c *control) vmsRead(m vmsRead) {
-	leaving := make(map[assign.ServerID]bool)
-	for _, v := range m.vms {
-		if v.Role == store.Backend && v.State == store.Leaving {
-			leaving[assign.ServerID(v.Name)] = true
-		}
-	}
-	for id := range leaving {
-		if !c.servers.leaving[id] {
-			c.note(event.Event{Kind: event.Drain, Server: id, Detail: "leaving by the VM list"})
-		}
-	}
-	c.servers.leaving = leaving
-	c.listServers()
-}
-
-// drainServer takes an operator's request.
-func (c *control) drainServer(m drainServer) {
-	if c.leading == nil || c.servers.get(m.event.Server) == nil {
-		m.reply <- false
-		return
-	}
-	c.note(event.Event{Kind: event.Drain, Server: m.event.Server, Detail: "ordered by an operator"})
-	c.decide(m.event)
-	m.reply <- true
-}
-
-// finishDrain ends a planned stop once no bucket and no term depends on this process.
-func (c *control) finishDrain() {
-	if c.drained == nil || c.node.recorder.listed() && len(c.peers) > 0 && c.serving {
-		return
-	}
-	if c.leading != nil {
-		c.release()
-	}
-	close(c.drained)
-	c.drained = nil
-}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -77,7 +77,7 @@
 	for id, m := range c.servers.members {
 		load := m.Gate.Load()
 		s.Servers = append(s.Servers, ServerStatus{
-			Server: id, Leaving: c.servers.leaving[id], InFlight: load.InFlight, Queued: load.Queued, Allowed: load.Allowed,
+			Server: id, Leaving: c.servers.leaving[id] || c.servers.ordered[id], InFlight: load.InFlight, Queued: load.Queued, Allowed: load.Allowed,
 		})
 	}
 	sortServers(s.Servers)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -69,6 +69,9 @@
 	Teams []Team
 	// Versions are the versions in force of all teams.
 	Versions map[string]uint64
+	// Leaving are the servers that leave by the list of VMs, Ordered those that operators drain.
+	Leaving []assign.ServerID
+	Ordered []assign.ServerID
 }
 
 // BeatAnswer is a follower's answer to a heartbeat.
