--- a/internal/scene/expect.go
+++ b/internal/scene/expect.go
@@ -15,10 +15,10 @@
 
 // resumeLook is how long a process is watched after a bound: one that returns from a pause must not
 // serve with what it had before.
-const resumeLook = time.Second
+const resumeLook = 500 * time.Millisecond
 
 // pastBound is how long calls go on after the time from which a leaving server gets none.
-const pastBound = 2 * time.Second
+const pastBound = time.Second
 
 // expectInForce waits for the bound and then looks whether any process serves with an older version.
 func (r *runner) expectInForce(ctx context.Context, s ExpectInForce) error {
--- a/internal/scene/member.go
+++ b/internal/scene/member.go
@@ -26,10 +26,11 @@
 	repeatShare = 3
 	// thinkTime is the pause between two calls of a caller.
 	thinkTime = 10 * time.Millisecond
-	// longRun is the work of a long call, 100 times that of a short one.
-	longRun = 200 * time.Millisecond
-	// bookingRun is the longest work of a booking. Some work is in flight whenever a part fails.
-	bookingRun = 40 * time.Millisecond
+	// longRun is the longest work of a long call. It is longer than the notice and the handover of a
+	// planned stop, so that a stop which does not wait for its calls cuts some.
+	longRun = 3 * time.Second
+	// shortRun is the longest work of other calls. Some work is in flight whenever a part fails.
+	shortRun = 40 * time.Millisecond
 )
 
 // member is one caller with its own random choices.
@@ -59,13 +60,22 @@
 
 func (m *member) look(o offered, key string) {
 	id := fmt.Sprintf("%s-l%d", m.name, m.count)
-	m.call(m.crew.balancer.pick(m.random, ""), request{offered: o, key: key, id: id, own: id + "~"})
+	run := m.work(shortRun)
+	if o.operation.Class == conf.Long {
+		run = m.work(longRun)
+	}
+	m.call(m.crew.balancer.pick(m.random, ""), request{offered: o, key: key, id: id, own: id + "~", run: run})
+}
+
+// work returns a random time for a server to work, at least 1 ms.
+func (m *member) work(longest time.Duration) time.Duration {
+	return time.Duration(1+m.random.IntN(int(longest.Milliseconds()))) * time.Millisecond
 }
 
 // book sends a booking until it ran, and often once more, each time through another process.
 func (m *member) book(o offered, key string) {
 	booking := fmt.Sprintf("%s-b%d", m.name, m.count)
-	run := time.Duration(1+m.random.IntN(int(bookingRun.Milliseconds()))) * time.Millisecond
+	run := m.work(shortRun)
 	again := m.random.IntN(repeatShare) == 0
 	last := assign.ProcessID("")
 	for try := range bookingTries {
@@ -94,9 +104,6 @@
 
 // call makes one call and records what the caller was told.
 func (m *member) call(entry balanced, r request) caller.Answer {
-	if r.operation.Class == conf.Long {
-		r.run = longRun
-	}
 	started := time.Now()
 	answer, err := m.crew.client.Do(entry.address, caller.Call{
 		Method:         r.operation.Method,
--- a/internal/scene/scene_test.go
+++ b/internal/scene/scene_test.go
@@ -67,7 +67,7 @@
 			folder, err := os.MkdirTemp("", "scene-"+s.Name+"-")
 			Expect(err).NotTo(HaveOccurred())
 			result, err := scene.Run(ctx, s, scene.Options{Programs: programs, Folder: folder, Seed: seed, Out: GinkgoWriter})
-			if err != nil || len(result.Failures) > 0 || os.Getenv("SCENE_KEEP") != "" {
+			if err != nil || len(result.Failures) > 0 {
 				AddReportEntry("logs, settings and histories are kept in " + folder)
 			} else {
 				Expect(os.RemoveAll(folder)).To(Succeed())
