--- a/internal/bench/blocking.go
+++ b/internal/bench/blocking.go
@@ -29,12 +29,13 @@
 // longShares are the shares of long calls among all calls.
 var longShares = []float64{0, 0.02, 0.1}
 
-// blockingLoads are the demands in capacities of short calls. At the lower one the long work of the
-// largest share fits in the tokens; at the higher one it alone is more than the servers can do.
+// blockingLoads are the demands in measured capacities of short calls. At the lower one the long work
+// of the largest share fits in the tokens; at the higher one it alone is more than the servers can
+// do. Half of the measured capacity leaves room beside the long work: tokens take 2 of 6 slots.
 var blockingLoads = []struct {
 	name   string
 	demand float64
-}{{"light", 0.03}, {"half", 0.5}}
+}{{"light", 0.04}, {"half", 0.5}}
 
 // blocking measures how much long calls delay short ones.
 func blocking(s *session) error {
@@ -61,11 +62,13 @@
 // blockingOf measures one way at every load and share.
 func (s *session) blockingOf(f *fleet.Fleet, way string) {
 	service := exclusive(f)
-	nominal := float64(service.Slots*len(service.Servers)) / workTime.Seconds()
+	// The servers of both services are alike, and calls cannot be sent straight to owners.
+	even := shared(f)
+	capacity := s.capacity(f, even, []kind{{operation: operation(even, conf.Short), run: workTime, timeout: shortTimeout}})
 	for i, l := range blockingLoads {
 		without := time.Duration(0)
 		for j, share := range longShares {
-			p99 := s.mix(f, service, mix{way: way, load: l.name, rate: l.demand * nominal, share: share, without: without},
+			p99 := s.mix(f, service, mix{way: way, load: l.name, rate: l.demand * capacity, share: share, without: without},
 				uint64(i*len(longShares)+j))
 			if share == 0 {
 				without = p99
