--- a/internal/conf/build.go
+++ b/internal/conf/build.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 	"github.com/samphiredrum/samphiredrum/pkg/lease"
@@ -66,6 +67,7 @@
 		PlatformAddress: v.address("platform-address"),
 		Timing:          buildTiming(r, sections[timingSection]),
 		Limits:          buildLimits(r, sections[limitsSection]),
+		TLS:             buildTLS(r, sections[tlsSection]),
 	}
 	peers := readSection(r, sections[peersSection], peersSection)
 	p.Peers = buildPeers(r, peers)
@@ -150,6 +152,43 @@
 	}
 }
 
+func buildTLS(r *report, s section) TLS {
+	v := readSection(r, s, tlsSection)
+	t := TLS{
+		Certificate: v.text("certificate"),
+		Key:         v.text("key"),
+		Authority:   v.text("authority"),
+		Callers:     v.flag("callers"),
+	}
+	if v.whole {
+		checkTLS(r, t, v)
+	}
+	return t
+}
+
+// checkTLS reports certificate files that are set in part, with which a process could present a
+// certificate but not check those of its peers, or the other way round.
+func checkTLS(r *report, t TLS, v values) {
+	paths := []struct{ key, path string }{
+		{"certificate", t.Certificate},
+		{"key", t.Key},
+		{"authority", t.Authority},
+	}
+	var missing []string
+	for _, p := range paths {
+		if p.path == "" {
+			missing = append(missing, p.key)
+		}
+	}
+	if len(missing) > 0 && len(missing) < len(paths) {
+		r.add(v.section.line, "section [tls] has no "+strings.Join(missing, " and no "),
+			"set certificate, key and authority, or none of them")
+	}
+	if t.Callers && (t.Certificate == "" || t.Key == "") {
+		r.add(v.line("callers"), "callers is true without a certificate and a key", "set certificate, key and authority, or callers = false")
+	}
+}
+
 func buildTiming(r *report, s section) Timing {
 	v := readSection(r, s, timingSection)
 	t := Timing{
--- a/internal/conf/check.go
+++ b/internal/conf/check.go
@@ -163,6 +163,9 @@
 	if p.Timing != u.first.Timing {
 		r.add(0, "section [timing] differs from the one in "+u.firstFile, remedy)
 	}
+	if p.TLS.Enabled() != u.first.TLS.Enabled() {
+		r.add(0, "section [tls] has certificate files in only one of this file and "+u.firstFile, "set them in all process files of the user or in none")
+	}
 }
 
 func (u *userCheck) team(file string, t Team, faults []Fault) []Fault {
--- a/internal/conf/check_test.go
+++ b/internal/conf/check_test.go
@@ -56,6 +56,15 @@
 		}))
 	})
 
+	// Guards against a cell of which only some processes use TLS, so that they can't talk to the rest.
+	It("reports processes of which only one has certificates", func() {
+		files := "[tls]\ncertificate = c.pem\nkey = c.key\nauthority = a.pem\n"
+		Expect(problems(
+			conf.Text{Name: "a.ini", Content: correctProcess},
+			conf.Text{Name: "b.ini", Content: secondProcess + files},
+		)).To(Equal([]string{"b.ini: section [tls] has certificate files in only one of this file and a.ini"}))
+	})
+
 	// Guards against two processes that listen on one address, and one process with two files.
 	It("reports a process or an address in two files", func() {
 		same := strings.Replace(secondProcess, "127.0.0.1:8002", "127.0.0.1:8001", 1)
--- a/internal/conf/parse_test.go
+++ b/internal/conf/parse_test.go
@@ -12,7 +12,8 @@
 
 // The data files hold one case each of INI text in and faults or values out. A case guards against
 // the fault that its comment names being accepted, or reported at the wrong line. The command
-// "timing" adds its text to a correct process file as section [timing], after line 12.
+// "timing" adds its text to a correct process file as section [timing], after line 12, and "tls" as
+// section [tls].
 func TestData(t *testing.T) {
 	datadriven.Walk(t, "testdata/cases", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
@@ -37,6 +38,9 @@
 	case "timing":
 		_, faults := conf.ParseProcess("entry-1.ini", correctProcess+"[timing]\n"+d.Input)
 		return outcome(faults, "%s", "ok")
+	case "tls":
+		p, faults := conf.ParseProcess("entry-1.ini", correctProcess+"[tls]\n"+d.Input)
+		return outcome(faults, "%+v", p.TLS)
 	case "match":
 		return matchCase(t, d)
 	}
--- a/internal/conf/process.go
+++ b/internal/conf/process.go
@@ -26,6 +26,7 @@
 	Peers  []Peer
 	Timing Timing
 	Limits Limits
+	TLS    TLS
 }
 
 // Peer is one entry process of the cell.
@@ -74,6 +75,21 @@
 	Events int
 }
 
+// TLS is the certificate files of the process. The zero TLS uses plain text everywhere.
+type TLS struct {
+	// Certificate, Key and Authority are paths of PEM files. All three are set, or none.
+	Certificate string
+	Key         string
+	Authority   string
+	// Callers reports whether callers are served over TLS.
+	Callers bool
+}
+
+// Enabled reports whether connections between entry processes use TLS.
+func (t TLS) Enabled() bool {
+	return t.Certificate != ""
+}
+
 // Others returns the peers without this process.
 func (p *Process) Others() []Peer {
 	others := make([]Peer, 0, len(p.Peers))
--- a/internal/conf/table.go
+++ b/internal/conf/table.go
@@ -26,6 +26,7 @@
 	peersSection      = "peers"
 	timingSection     = "timing"
 	limitsSection     = "limits"
+	tlsSection        = "tls"
 	teamSection       = "team.T"
 	serviceSection    = "team.T.service.S"
 	operationSection  = "team.T.service.S.operation.O"
@@ -79,6 +80,11 @@
 	{ProcessFile, limitsSection, "read-timeout", durationKind{100 * time.Millisecond, 5 * time.Minute}, "5s", false, "Time a caller has to send its request."},
 	{ProcessFile, limitsSection, "events", numberKind{"events", 16, 1 << 16}, "4096", false, "Control events kept in memory."},
 
+	{ProcessFile, tlsSection, "certificate", textKind{}, "", false, "Path of the PEM certificate of this process, followed by intermediate certificates if any. It carries `name` as a DNS name or the address of `peer-address`. Where it is set, connections between entry processes use TLS 1.3 with a certificate on both ends, so it must be set in all process files or in none."},
+	{ProcessFile, tlsSection, "key", textKind{}, "", false, "Path of the PEM key of `certificate`. Required where `certificate` is set."},
+	{ProcessFile, tlsSection, "authority", textKind{}, "", false, "Path of the PEM certificates of the authorities that sign the certificates of all entry processes. Required where `certificate` is set."},
+	{ProcessFile, tlsSection, "callers", flagKind{}, "false", false, "Whether `caller-address` takes TLS (1.2 and up) instead of plain text. Requires `certificate` and `key`."},
+
 	{TeamFile, teamSection, "contact", textKind{}, "", false, "Whom to ask about the team's services."},
 
 	{TeamFile, serviceSection, "exclusive", flagKind{}, "false", false, "Whether each key has one owning server."},
