--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -1,9 +1,22 @@
 // Package audit checks recorded histories against the promises: what each backend server ran
 // against what each caller was told.
 //
+// Check, Leaving and Cuts compare records by rules of their own. CheckBookings, CheckConfigs and
+// CheckOwners check that a history is linearizable with respect to a sequential model of one
+// booking identifier, of one team's configuration and of the owner of one key. They split the
+// history by identifier, team, process and key first, because the cost of a check can grow
+// exponentially with the number of concurrent operations in it.
+//
+// All times of one history must come from one wall clock that does not step while the history is
+// recorded. Times are compared in microseconds, and two operations with the same time may have
+// happened in either order.
+//
 // # Usage
 //
 //	faults := audit.Check(fleet.History(), attempts)
+//	faults = append(faults, audit.CheckBookings(fleet.History(), attempts)...)
+//	faults = append(faults, audit.CheckOwners(fleet.History())...)
+//	faults = append(faults, audit.CheckConfigs(writes, reads, 3*time.Second)...)
 //	for _, f := range faults {
 //		fmt.Println(f)
 //	}
@@ -14,6 +27,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/samphiredrum/samphiredrum/internal/caller"
 	"github.com/samphiredrum/samphiredrum/internal/stand"
@@ -42,6 +56,11 @@
 	LeavingServer
 	// Uninterrupted is that a planned stop cuts no call, see Cuts.
 	Uninterrupted
+	// KeptConfig is that an accepted configuration is not lost and never reverts, see CheckConfigs.
+	KeptConfig
+	// ConfigInForce is that an accepted configuration is in force everywhere after a bound, see
+	// CheckConfigs.
+	ConfigInForce
 )
 
 // Attempt is one call as its caller saw it.
@@ -62,6 +81,10 @@
 	// ended without an answer. Cuts needs both.
 	Entry assign.ProcessID
 	Cut   bool
+	// Called is the time before the call was sent, and Returned the time after its answer came, by
+	// the wall clock of the machine that the servers run on. Only CheckBookings needs them.
+	Called   time.Time
+	Returned time.Time
 }
 
 // Fault is a broken promise.
--- a/internal/audit/promise_enumer.go
+++ b/internal/audit/promise_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _PromiseName = "sole-ownerwhole-answernot-runat-most-oncenot-lostsame-answerleaving-serveruninterrupted"
+const _PromiseName = "sole-ownerwhole-answernot-runat-most-oncenot-lostsame-answerleaving-serveruninterruptedkept-configconfig-in-force"
 
-var _PromiseIndex = [...]uint8{0, 10, 22, 29, 41, 49, 60, 74, 87}
+var _PromiseIndex = [...]uint8{0, 10, 22, 29, 41, 49, 60, 74, 87, 98, 113}
 
-const _PromiseLowerName = "sole-ownerwhole-answernot-runat-most-oncenot-lostsame-answerleaving-serveruninterrupted"
+const _PromiseLowerName = "sole-ownerwhole-answernot-runat-most-oncenot-lostsame-answerleaving-serveruninterruptedkept-configconfig-in-force"
 
 func (i Promise) String() string {
 	if i < 0 || i >= Promise(len(_PromiseIndex)-1) {
@@ -32,27 +32,33 @@
 	_ = x[SameAnswer-(5)]
 	_ = x[LeavingServer-(6)]
 	_ = x[Uninterrupted-(7)]
+	_ = x[KeptConfig-(8)]
+	_ = x[ConfigInForce-(9)]
 }
 
-var _PromiseValues = []Promise{SoleOwner, WholeAnswer, NotRun, AtMostOnce, NotLost, SameAnswer, LeavingServer, Uninterrupted}
+var _PromiseValues = []Promise{SoleOwner, WholeAnswer, NotRun, AtMostOnce, NotLost, SameAnswer, LeavingServer, Uninterrupted, KeptConfig, ConfigInForce}
 
 var _PromiseNameToValueMap = map[string]Promise{
-	_PromiseName[0:10]:       SoleOwner,
-	_PromiseLowerName[0:10]:  SoleOwner,
-	_PromiseName[10:22]:      WholeAnswer,
-	_PromiseLowerName[10:22]: WholeAnswer,
-	_PromiseName[22:29]:      NotRun,
-	_PromiseLowerName[22:29]: NotRun,
-	_PromiseName[29:41]:      AtMostOnce,
-	_PromiseLowerName[29:41]: AtMostOnce,
-	_PromiseName[41:49]:      NotLost,
-	_PromiseLowerName[41:49]: NotLost,
-	_PromiseName[49:60]:      SameAnswer,
-	_PromiseLowerName[49:60]: SameAnswer,
-	_PromiseName[60:74]:      LeavingServer,
-	_PromiseLowerName[60:74]: LeavingServer,
-	_PromiseName[74:87]:      Uninterrupted,
-	_PromiseLowerName[74:87]: Uninterrupted,
+	_PromiseName[0:10]:        SoleOwner,
+	_PromiseLowerName[0:10]:   SoleOwner,
+	_PromiseName[10:22]:       WholeAnswer,
+	_PromiseLowerName[10:22]:  WholeAnswer,
+	_PromiseName[22:29]:       NotRun,
+	_PromiseLowerName[22:29]:  NotRun,
+	_PromiseName[29:41]:       AtMostOnce,
+	_PromiseLowerName[29:41]:  AtMostOnce,
+	_PromiseName[41:49]:       NotLost,
+	_PromiseLowerName[41:49]:  NotLost,
+	_PromiseName[49:60]:       SameAnswer,
+	_PromiseLowerName[49:60]:  SameAnswer,
+	_PromiseName[60:74]:       LeavingServer,
+	_PromiseLowerName[60:74]:  LeavingServer,
+	_PromiseName[74:87]:       Uninterrupted,
+	_PromiseLowerName[74:87]:  Uninterrupted,
+	_PromiseName[87:98]:       KeptConfig,
+	_PromiseLowerName[87:98]:  KeptConfig,
+	_PromiseName[98:113]:      ConfigInForce,
+	_PromiseLowerName[98:113]: ConfigInForce,
 }
 
 var _PromiseNames = []string{
@@ -64,6 +70,8 @@
 	_PromiseName[49:60],
 	_PromiseName[60:74],
 	_PromiseName[74:87],
+	_PromiseName[87:98],
+	_PromiseName[98:113],
 }
 
 // PromiseString retrieves an enum value from the enum constants string name.
