--- a/pkg/owner/grants.go
+++ b/pkg/owner/grants.go
@@ -17,10 +17,11 @@
 	work := d.grantable()
 	d.beats++
 	for _, id := range d.serverIDs() {
-		if spans := work[id]; len(spans) > 0 && d.beats%d.renewEvery() == 0 {
+		quiet := d.servers[id].quiet(now, d.answerTime())
+		if spans := work[id]; len(spans) > 0 && !quiet && d.beats%d.renewEvery() == 0 {
 			d.sendGrant(now, id, spans)
 		}
-		if len(work[id]) == 0 || d.beats%probeEvery == 0 {
+		if len(work[id]) == 0 || quiet || d.beats%probeEvery == 0 {
 			d.act(ProbeServer{Server: id, Incarnation: d.servers[id].incarnation})
 		}
 	}
@@ -33,6 +34,13 @@
 	return max(1, uint64(d.config.Silence/(2*d.config.Beat)))
 }
 
+// answerTime is the age of a server's last answer above which its grants are not renewed. A frozen
+// server may take a renewal on its return, so each one sent would put off the lapse of its grants;
+// probes put off nothing.
+func (d *Decider) answerTime() time.Duration {
+	return time.Duration(d.renewEvery()+1) * d.config.Beat
+}
+
 // grantable returns the spans of each server that its next grant names.
 func (d *Decider) grantable() map[assign.ServerID][]*span {
 	work := make(map[assign.ServerID][]*span)
--- a/pkg/owner/servers.go
+++ b/pkg/owner/servers.go
@@ -47,6 +47,11 @@
 	return s != nil && !s.lost && s.incarnation != ""
 }
 
+// quiet reports whether the server's last answer is older than the limit.
+func (s *server) quiet(now time.Time, limit time.Duration) bool {
+	return now.Sub(s.heard) > limit
+}
+
 func (d *Decider) serverIDs() []assign.ServerID {
 	return slices.Sorted(maps.Keys(d.servers))
 }
