--- a/internal/scene/scene_test.go
+++ b/internal/scene/scene_test.go
@@ -1,7 +1,6 @@
 package scene_test
 
 import (
-	"context"
 	"os"
 	"path/filepath"
 	"slices"
@@ -48,33 +47,41 @@
 	return found
 }
 
-var _ = Describe("scenarios", Ordered, ContinueOnFailure, func() {
-	var programs scene.Programs
+// lines writes the events of a scenario to the log of its test.
+type lines struct{ t *testing.T }
 
-	BeforeAll(func(ctx context.Context) {
-		var err error
-		programs, err = scene.Build(ctx, GinkgoT().TempDir())
-		Expect(err).NotTo(HaveOccurred())
-	})
+// Write implements io.Writer.
+func (l lines) Write(text []byte) (int, error) {
+	l.t.Log(strings.TrimSpace(string(text)))
+	return len(text), nil
+}
 
+// TestScenarios plays each file as a test of its own, so that KNOWN-RED.txt can name single ones. Each
+// guards against what the first comment of its file says.
+func TestScenarios(t *testing.T) {
+	g := NewWithT(t)
+	programs, err := scene.Build(t.Context(), t.TempDir())
+	g.Expect(err).NotTo(HaveOccurred())
 	for _, file := range files() {
-		name := filepath.Base(file)
+		name := strings.TrimSuffix(filepath.Base(file), ".scene")
+		t.Run(name, func(t *testing.T) { play(t, programs, file) })
+	}
+}
 
-		// Each guards against what its first comment says.
-		It("holds in "+name, func(ctx context.Context) {
-			s, err := scene.Load(file)
-			Expect(err).NotTo(HaveOccurred())
-			folder, err := os.MkdirTemp("", "scene-"+s.Name+"-")
-			Expect(err).NotTo(HaveOccurred())
-			result, err := scene.Run(ctx, s, scene.Options{Programs: programs, Folder: folder, Seed: seed, Out: GinkgoWriter})
-			if err != nil || len(result.Failures) > 0 {
-				AddReportEntry("logs, settings and histories are kept in " + folder)
-			} else {
-				Expect(os.RemoveAll(folder)).To(Succeed())
-			}
-			Expect(err).NotTo(HaveOccurred())
-			Expect(result.Failures).To(BeEmpty())
-			Expect(result.Runs).To(BeNumerically(">", 0))
-		})
+// play plays a scenario. After a failure it keeps the folder with logs, settings and histories.
+func play(t *testing.T, programs scene.Programs, file string) {
+	g := NewWithT(t)
+	s, err := scene.Load(file)
+	g.Expect(err).NotTo(HaveOccurred())
+	folder, err := os.MkdirTemp("", "scene-"+s.Name+"-")
+	g.Expect(err).NotTo(HaveOccurred())
+	result, err := scene.Run(t.Context(), s, scene.Options{Programs: programs, Folder: folder, Seed: seed, Out: lines{t}})
+	if err != nil || len(result.Failures) > 0 {
+		t.Logf("logs, settings and histories are kept in %s", folder)
+	} else {
+		g.Expect(os.RemoveAll(folder)).To(Succeed())
 	}
-})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(result.Failures).To(BeEmpty())
+	g.Expect(result.Runs).To(BeNumerically(">", 0))
+}
