fleet: Check the histories of concurrent operators and callers

The test runs a small user for about 5 s while the store loses answers, is slow and is down, and while the decider is killed.

--- /dev/null
+++ b/internal/fleet/crowd_test.go
@@ -0,0 +1,225 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+	. "github.com/onsi/gomega"
+
+	"github.com/samphiredrum/samphiredrum/internal/audit"
+	"github.com/samphiredrum/samphiredrum/internal/caller"
+	"github.com/samphiredrum/samphiredrum/internal/conf"
+	"github.com/samphiredrum/samphiredrum/internal/fleet"
+	"github.com/samphiredrum/samphiredrum/internal/node"
+)
+
+const (
+	// changeTime is how long an operator waits for the answer to a change. It is longer than a fault,
+	// so that changes of which the answer was lost are decided when the store answers again.
+	changeTime = 2 * faultTime
+	// thinkTime is the longest pause of an operator or a caller.
+	thinkTime = 30 * time.Millisecond
+	// readInterval is the time between two readings of the versions in force.
+	readInterval = 20 * time.Millisecond
+	// stallInterval is the interval of the ticker that measures stalls of the machine.
+	stallInterval = 10 * time.Millisecond
+
+	bookingKeys  = 20
+	bookingTries = 6
+)
+
+// user is what all users of a fleet share: its processes and choices by a seed.
+type user struct {
+	ctx    context.Context
+	fleet  *fleet.Fleet
+	random *rand.Rand
+}
+
+func (u user) seeded(index int) user {
+	u.random = rand.New(rand.NewPCG(historySeed, uint64(index)+1))
+	return u
+}
+
+// entry returns a random process that is not lost.
+func (u *user) entry() *node.Node {
+	names := u.fleet.Names()
+	return u.fleet.Node(names[u.random.IntN(len(names))])
+}
+
+// pause waits for a random time, or until the context ends.
+func (u *user) pause() {
+	sleep(u.ctx, time.Duration(u.random.Int64N(int64(thinkTime))))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// operator reads and changes one team's configuration again and again.
+type operator struct {
+	user
+	team   string
+	writes []audit.ConfigWrite
+	reads  []audit.ConfigRead
+}
+
+func (o *operator) run() {
+	for count := 0; o.ctx.Err() == nil; count++ {
+		if text, version, ok := o.read(); ok {
+			contact := fmt.Sprintf("contact = %s-%d-%d\n", o.team, o.random.Uint64(), count)
+			o.write(replaceContact(string(text), contact), version)
+		}
+		o.pause()
+	}
+}
+
+// replaceContact replaces the line of the contact, so that no two texts are the same.
+func replaceContact(text, contact string) string {
+	before, rest, _ := strings.Cut(text, "contact = ")
+	_, after, _ := strings.Cut(rest, "\n")
+	return before + contact + after
+}
+
+func (o *operator) read() ([]byte, uint64, bool) {
+	called := time.Now()
+	text, version, err := o.entry().Config(o.ctx, o.team)
+	if err != nil {
+		return nil, 0, false
+	}
+	o.reads = append(o.reads, audit.ConfigRead{Team: o.team, Called: called, Returned: time.Now(), Version: version})
+	return text, version, true
+}
+
+func (o *operator) write(text string, ifVersion uint64) {
+	// The end of the test does not cut a change short, so that its outcome is recorded.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(o.ctx), changeTime)
+	defer cancel()
+	w := audit.ConfigWrite{Team: o.team, Called: time.Now(), IfVersion: ifVersion}
+	version, err := o.entry().SetConfig(ctx, o.team, []byte(text), ifVersion)
+	w.Returned, w.Version, w.Outcome = time.Now(), version, outcome(err)
+	o.writes = append(o.writes, w)
+}
+
+// outcome returns what the operator was told.
+func outcome(err error) audit.WriteOutcome {
+	switch {
+	case err == nil:
+		return audit.Accepted
+	case errorx.IsOfType(err, node.ErrConflict):
+		return audit.Conflicted
+	case errorx.IsOfType(err, node.ErrStore), errorx.IsOfType(err, node.ErrInvalid):
+		return audit.Refused
+	}
+	return audit.Undecided
+}
+
+// firstVersion returns the write of the version that the fleet started with.
+func firstVersion(ctx context.Context, f *fleet.Fleet, team string) audit.ConfigWrite {
+	now := time.Now()
+	_, version, err := f.Node(f.Names()[0]).Config(ctx, team)
+	Expect(err).NotTo(HaveOccurred())
+	return audit.ConfigWrite{Team: team, Called: now, Returned: now, Outcome: audit.Accepted, Version: version}
+}
+
+// reader records the versions in force at the processes that hold a serving lease.
+type reader struct {
+	user
+	reads []audit.ConfigRead
+}
+
+func (r *reader) run() {
+	for r.ctx.Err() == nil {
+		for _, name := range r.fleet.Names() {
+			called := time.Now()
+			status := r.fleet.Node(name).Status()
+			if !status.Serving {
+				continue
+			}
+			for team, version := range status.Teams {
+				r.reads = append(r.reads, audit.ConfigRead{
+					Team: team, Process: name, Called: called, Returned: time.Now(), Version: version,
+				})
+			}
+		}
+		sleep(r.ctx, readInterval)
+	}
+}
+
+// stall measures how long the machine kept the test from running.
+type stall struct {
+	ctx     context.Context
+	largest time.Duration
+}
+
+func (s *stall) run() {
+	for s.ctx.Err() == nil {
+		before := time.Now()
+		time.Sleep(stallInterval)
+		s.largest = max(s.largest, time.Since(before)-stallInterval)
+	}
+}
+
+// booker makes bookings, and repeats each with its identifier until it ran.
+type booker struct {
+	user
+	name     string
+	client   *caller.Client
+	attempts []audit.Attempt
+}
+
+func newBooker(u user, index int) *booker {
+	return &booker{user: u, name: fmt.Sprintf("c%d", index), client: caller.New(caller.Options{})}
+}
+
+func (b *booker) run() {
+	defer b.client.Close()
+	for count := 0; b.ctx.Err() == nil; count++ {
+		b.book(fmt.Sprintf("%s-b%d", b.name, count))
+		b.pause()
+	}
+}
+
+// book makes one booking through random processes.
+func (b *booker) book(booking string) {
+	teams := b.fleet.Plan().Teams
+	service := &teams[b.random.IntN(len(teams))].Services[0]
+	operation := bookingOf(service)
+	path := caller.Path(service, operation, fmt.Sprintf("key-%d", b.random.IntN(bookingKeys)))
+	for try := range bookingTries {
+		answer := b.attempt(booking, fmt.Sprintf("%s-t%d", booking, try), caller.Call{
+			Method: operation.Method, Path: path, Timeout: operation.Timeout,
+		})
+		if answer.Outcome == caller.Ran || b.ctx.Err() != nil {
+			return
+		}
+		sleep(b.ctx, max(answer.RetryAfter, thinkTime))
+	}
+}
+
+// attempt makes one attempt and records what the caller was told.
+func (b *booker) attempt(booking, request string, call caller.Call) caller.Answer {
+	call.RequestID, call.IdempotencyKey = request, booking
+	a := audit.Attempt{Booking: booking, RequestID: request, Called: time.Now()}
+	answer, _ := b.client.Do(b.entry().CallerAddress(), call)
+	a.Returned, a.Outcome, a.Reason = time.Now(), answer.Outcome, answer.Reason
+	a.Own = strings.Contains(string(answer.Body), `"`+booking+"-")
+	b.attempts = append(b.attempts, a)
+	return answer
+}
+
+// bookingOf returns the operation of a service that books.
+func bookingOf(service *conf.Service) conf.Operation {
+	for _, o := range service.Operations {
+		if o.Class == conf.Booking {
+			return o
+		}
+	}
+	return conf.Operation{}
+}
