Use TLS between entry processes and towards callers where section [tls] is set

A link opens its connection apart from the message that needs it, so that a handshake may take longer than a message waits.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -8,6 +8,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"errors"
 	"net/netip"
 	"strconv"
@@ -28,11 +29,14 @@
 type Options struct {
 	// Connections is the largest number of connections to one entry process, 512 by default.
 	Connections int
+	// TLS is the configuration towards entry processes, nil for plain text.
+	TLS *tls.Config
 }
 
 // Client makes calls over keep-alive connections. It is safe for concurrent use.
 type Client struct {
-	http *fasthttp.Client
+	http   *fasthttp.Client
+	scheme string
 }
 
 // New returns a Client.
@@ -40,7 +44,12 @@
 	if o.Connections <= 0 {
 		o.Connections = 512
 	}
-	return &Client{http: &fasthttp.Client{
+	scheme := "http://"
+	if o.TLS != nil {
+		scheme = "https://"
+	}
+	return &Client{scheme: scheme, http: &fasthttp.Client{
+		TLSConfig:                     o.TLS,
 		MaxConnsPerHost:               o.Connections,
 		MaxIdemponentCallAttempts:     1,
 		RetryIfErr:                    neverRetry,
@@ -86,7 +95,7 @@
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + entry.String() + call.Path)
+	request.SetRequestURI(c.scheme + entry.String() + call.Path)
 	request.Header.SetMethod(call.Method)
 	request.SetBody(call.Body)
 	request.Header.Set("Request-Id", call.RequestID)
--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -148,7 +148,7 @@
 		return
 	}
 	s.logged = err.Error()
-	s.log.Error().Str("error", s.logged).Msg("certificate reload failed")
+	s.log.Error().Err(err).Msg("certificate reload failed")
 }
 
 // material is the content of the files.
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -63,6 +64,8 @@
 	Limits conf.Limits
 	// TableVersion returns the version that issued booking identifiers carry.
 	TableVersion func() uint64
+	// TLS is the configuration towards callers, nil for plain text.
+	TLS *tls.Config
 	// Done is called with each finished call.
 	Done func(c *Call, r Result, took time.Duration)
 }
@@ -98,8 +101,13 @@
 }
 
 func (h *HTTP) run() {
+	// The remembered connections are those below TLS, so that closing them waits for no caller.
+	var bound net.Listener = h.listener
+	if h.config.TLS != nil {
+		bound = tls.NewListener(bound, h.config.TLS)
+	}
 	// The error tells only that the listener was closed.
-	_ = h.app.Listener(h.listener, fiber.ListenConfig{DisableStartupMessage: true})
+	_ = h.app.Listener(bound, fiber.ListenConfig{DisableStartupMessage: true})
 }
 
 // Address returns the address that callers connect to.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -50,6 +50,7 @@
 	plan     Plan
 	log      zerolog.Logger
 	options  []node.Option
+	tls      func(conf.Process) conf.TLS
 	platform *stand.Platform
 	backends map[assign.ServerID]*stand.Backend
 	nodes    map[assign.ProcessID]*node.Node
@@ -71,6 +72,11 @@
 	return func(f *Fleet) { f.options = append(f.options, options...) }
 }
 
+// WithTLS sets the certificate files of each entry process.
+func WithTLS(files func(conf.Process) conf.TLS) Option {
+	return func(f *Fleet) { f.tls = files }
+}
+
 // Without leaves an entry process out, as if its VM were gone.
 func Without(name assign.ProcessID) Option {
 	return func(f *Fleet) { f.killed[name] = true }
@@ -157,6 +163,9 @@
 }
 
 func (f *Fleet) startNode(settings conf.Process) error {
+	if f.tls != nil {
+		settings.TLS = f.tls(settings)
+	}
 	log := node.WithLog(f.log.With().Str("process", string(settings.Name)).Logger())
 	n := node.New(settings, append([]node.Option{log}, f.options...)...)
 	if err := n.Start(); err != nil {
--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -107,6 +107,8 @@
 	allowed  *prometheus.Desc
 	team     *prometheus.Desc
 	platform *prometheus.Desc
+	expiry   *prometheus.Desc
+	failures *prometheus.Desc
 }
 
 func newStateCollector(n *Node) *stateCollector {
@@ -117,6 +119,8 @@
 		allowed:  prometheus.NewDesc(metricPrefix+"_server_calls_allowed", "Learned limit of calls in flight at a server.", []string{"server"}, nil),
 		team:     prometheus.NewDesc(metricPrefix+"_configuration_version", "Version of a team's configuration in force.", []string{"team"}, nil),
 		platform: prometheus.NewDesc(metricPrefix+"_platform_calls_total", "Calls to the platform, by operation.", []string{"operation"}, nil),
+		expiry:   prometheus.NewDesc(metricPrefix+"_certificate_expiry_seconds", "Unix time at which the certificate in force expires.", nil, nil),
+		failures: prometheus.NewDesc(metricPrefix+"_certificate_reload_failures_total", "Reloads of the certificate files that failed.", nil, nil),
 	}
 }
 
@@ -130,6 +134,8 @@
 	out <- s.allowed
 	out <- s.team
 	out <- s.platform
+	out <- s.expiry
+	out <- s.failures
 }
 
 // Collect implements prometheus.Collector.
@@ -151,4 +157,8 @@
 			out <- prometheus.MustNewConstMetric(s.platform, prometheus.CounterValue, float64(n), operation.String())
 		}
 	}
+	if c := s.node.certs; c != nil {
+		out <- prometheus.MustNewConstMetric(s.expiry, prometheus.GaugeValue, float64(c.Expiry().Unix()))
+		out <- prometheus.MustNewConstMetric(s.failures, prometheus.CounterValue, float64(c.Failures()))
+	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/samphiredrum/samphiredrum/internal/back"
+	"github.com/samphiredrum/samphiredrum/internal/certs"
 	"github.com/samphiredrum/samphiredrum/internal/conf"
 	"github.com/samphiredrum/samphiredrum/internal/entry"
 	"github.com/samphiredrum/samphiredrum/internal/peer"
@@ -58,6 +59,8 @@
 	links    map[assign.ProcessID]*links
 	meter    *Meter
 
+	// certs is nil where the process uses plain text.
+	certs  *certs.Store
 	server *peer.Server
 	http   *entry.HTTP
 
@@ -127,7 +130,7 @@
 		n.dial = n.connect
 	}
 	for _, p := range settings.Others() {
-		n.links[p.Name] = &links{control: peer.NewLink(p.Address), traffic: peer.NewLink(p.Address)}
+		n.links[p.Name] = &links{control: n.newLink(p), traffic: n.newLink(p)}
 	}
 	n.ring = event.NewRing(settings.Name, settings.Limits.Events, n.clock, n.logical)
 	n.recorder = newRecorder(n)
@@ -154,9 +157,13 @@
 	})
 }
 
-// Start begins to take calls and messages. Its errors name the address that can't be used.
+// Start begins to take calls and messages. Its errors name the address or the certificate file that
+// can't be used.
 func (n *Node) Start() error {
-	server, err := peer.Listen(n.settings.PeerAddress, n)
+	if err := n.loadCertificates(); err != nil {
+		return err
+	}
+	server, err := peer.Listen(n.settings.PeerAddress, n, n.serverOptions()...)
 	if err != nil {
 		return err
 	}
@@ -164,6 +171,7 @@
 	n.http, err = entry.ListenHTTP(n.settings.CallerAddress.String(), n.router, entry.HTTPConfig{
 		Limits:       n.settings.Limits,
 		TableVersion: n.recorder.version,
+		TLS:          n.callerTLS(),
 		Done:         n.meter.call,
 	})
 	if err != nil {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -4,6 +4,9 @@
 // connection, which it opens when it is needed and replaces after an error or a timeout: a
 // connection that has stopped answering may be cut without notice, and a new one finds out.
 //
+// With TLS no byte of a message is read before the certificate of the sender was verified. A
+// handshake that fails ends only its own connection.
+//
 // # Usage
 //
 //	server, err := peer.Listen(address, handler)
@@ -16,6 +19,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/netip"
@@ -31,7 +35,7 @@
 // serviceName is the net/rpc name under which the methods are registered.
 const serviceName = "Peer"
 
-// dialTimeout bounds opening a connection. It is below the silence after which a peer counts as
+// dialTimeout bounds opening a connection, without its TLS handshake. It is below the silence after which a peer counts as
 // unreachable.
 const dialTimeout = 500 * time.Millisecond
 
@@ -136,6 +140,9 @@
 	rpc      *rpc.Server
 	listener net.Listener
 	group    conc.WaitGroup
+	// config is nil where connections are plain text.
+	config  *tls.Config
+	refused func(address net.Addr, err error)
 
 	mu     sync.Mutex
 	closed bool
@@ -143,12 +150,15 @@
 }
 
 // Listen starts a Server. It returns ErrListen where the address can't be used.
-func Listen(address netip.AddrPort, handler Handler) (*Server, error) {
+func Listen(address netip.AddrPort, handler Handler, options ...ServerOption) (*Server, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, ErrListen.Wrap(err, "set peer-address to a free address of this VM, not %s", address)
 	}
 	s := &Server{rpc: rpc.NewServer(), listener: listener, conns: make(map[net.Conn]struct{})}
+	for _, o := range options {
+		o(s)
+	}
 	if err := s.rpc.RegisterName(serviceName, &service{handler: handler}); err != nil {
 		return nil, ErrListen.Wrap(err, "register the peer methods")
 	}
@@ -215,34 +225,55 @@
 	conn   net.Conn
 }
 
-// run serves the connection. A message that is not valid gob ends only this connection.
+// run serves the connection. A broken handshake or a message that is not valid gob ends only this
+// connection.
 func (c *serverConn) run() {
 	defer c.server.remove(c.conn)
-	c.server.rpc.ServeConn(c.conn)
+	conn, err := c.server.secure(c.conn)
+	if err != nil {
+		c.conn.Close()
+		c.server.refused(c.conn.RemoteAddr(), err)
+		return
+	}
+	c.server.rpc.ServeConn(conn)
 }
 
 // Link sends messages to one peer. It is safe for concurrent use.
 type Link struct {
 	address netip.AddrPort
+	// config is nil where connections are plain text.
+	config func() *tls.Config
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  conc.WaitGroup
 
 	mu     sync.Mutex
 	client *rpc.Client
-	closed bool
+	// opening is nil where no connection is being opened.
+	opening *opening
+	closed  bool
 }
 
 // NewLink returns a Link to the peer at address. It opens no connection yet.
-func NewLink(address netip.AddrPort) *Link {
-	return &Link{address: address}
+func NewLink(address netip.AddrPort, options ...LinkOption) *Link {
+	l := &Link{address: address}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	for _, o := range options {
+		o(l)
+	}
+	return l
 }
 
 // Close closes the link's connection. Messages on their way get ErrUnreachable.
 func (l *Link) Close() {
+	l.cancel()
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.closed = true
 	if l.client != nil {
 		l.client.Close()
 	}
+	l.mu.Unlock()
+	l.group.Wait()
 }
 
 // call sends one message and waits for its answer until the context ends. After an error the
@@ -250,7 +281,7 @@
 func (l *Link) call(ctx context.Context, method string, request, answer any) error {
 	client, err := l.connect(ctx)
 	if err != nil {
-		return ErrUnreachable.Wrap(err, "peer %s does not accept a connection; check that it runs", l.address)
+		return ErrUnreachable.Wrap(err, "peer %s does not accept a connection; check that it runs and the certificates of both", l.address)
 	}
 	call := client.Go(serviceName+"."+method, request, answer, make(chan *rpc.Call, 1))
 	select {
@@ -266,22 +297,28 @@
 	return nil
 }
 
+// connect returns the open connection, or waits for a new one until the context ends.
 func (l *Link) connect(ctx context.Context) (*rpc.Client, error) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.closed {
-		return nil, net.ErrClosed
-	}
-	if l.client != nil {
+	if l.closed || l.client != nil {
+		defer l.mu.Unlock()
+		if l.closed {
+			return nil, net.ErrClosed
+		}
 		return l.client, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", l.address.String())
-	if err != nil {
-		return nil, err
+	if l.opening == nil {
+		l.opening = &opening{link: l, done: make(chan struct{})}
+		l.group.Go(l.opening.run)
+	}
+	o := l.opening
+	l.mu.Unlock()
+	select {
+	case <-o.done:
+		return o.client, o.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
-	l.client = rpc.NewClient(conn)
-	return l.client, nil
 }
 
 // drop closes the connection, so that the next message opens a new one.
