--- /dev/null
+++ b/pkg/assign/example_test.go
@@ -0,0 +1,22 @@
+package assign_test
+
+import (
+	"fmt"
+	"math"
+	"os"
+
+	"github.com/samphiredrum/samphiredrum/pkg/assign"
+)
+
+// A holding whose first owner was lost is served by its successor under the next fence.
+func ExampleTable_Lookup() {
+	place := assign.Place{
+		Span: assign.Span{To: math.MaxUint64}, Owners: []assign.ServerID{"ledger-1", "ledger-2"}, Base: 7,
+	}
+	table := assign.Table{Services: map[assign.ServiceID][]assign.Holding{
+		"depot/ledger": {{Place: place, Rank: 1, Open: true}},
+	}}
+	holding, ok := table.Lookup("depot/ledger", assign.Hash("yard-17"))
+	fmt.Fprintln(os.Stdout, ok, holding.Open, holding.Owner(), holding.Fence())
+	// Output: true true ledger-2 8
+}
--- /dev/null
+++ b/pkg/limit/example_test.go
@@ -0,0 +1,20 @@
+package limit_test
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/samphiredrum/samphiredrum/pkg/limit"
+)
+
+// Each call saves a part of a retry.
+func ExampleBudget() {
+	budget := limit.NewBudget(0.5, 1)
+	fmt.Fprintln(os.Stdout, budget.Take(), budget.Take())
+	budget.Call()
+	budget.Call()
+	fmt.Fprintln(os.Stdout, budget.Take())
+	// Output:
+	// true false
+	// true
+}
--- /dev/null
+++ b/pkg/owner/example_test.go
@@ -0,0 +1,27 @@
+package owner_test
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/samphiredrum/samphiredrum/pkg/assign"
+	"github.com/samphiredrum/samphiredrum/pkg/owner"
+)
+
+// The first heartbeat brings the table. The answer to it carries the follower's time, and the
+// heartbeat that echoes this time gives the serving lease.
+func ExampleFollower() {
+	now := time.Unix(0, 0)
+	f := owner.NewFollower("run-1")
+	beat := owner.BeatReceived{From: "entry-2", Term: 1, Table: &assign.Table{Version: 1, Term: 1}}
+	f.Step(now, beat)
+	f.Step(now, beat)
+	fmt.Fprintln(os.Stdout, f.Serves(now))
+	beat.Incarnation, beat.Echo, beat.Length = "run-1", now, 2*time.Second
+	f.Step(now, beat)
+	fmt.Fprintln(os.Stdout, f.Serves(now.Add(time.Second)), f.Serves(now.Add(2*time.Second)))
+	// Output:
+	// false
+	// true false
+}
