--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -104,7 +104,11 @@
 			if readErr == nil && doubtful && bytes.Equal(current, text) {
 				return now, nil
 			}
-			if readErr == nil || !doubtful {
+			if readErr == nil && doubtful {
+				// The write whose answer was lost may have taken effect and been replaced since.
+				return 0, ErrUndecided.New("version %d is stored; this change may have been in force before it; read it, merge and repeat", now)
+			}
+			if !doubtful {
 				return 0, ErrConflict.New("version %d is stored, not %d; read it, merge and repeat", store.CurrentVersion(err), ifVersion)
 			}
 		case store.Unknown:
