--- /dev/null
+++ b/example_test.go
@@ -0,0 +1,15 @@
+package samphiredrum_test
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/samphiredrum/samphiredrum"
+)
+
+// Example shows that settings with a fault are refused with its line and the remedy.
+func Example() {
+	_, err := samphiredrum.New(samphiredrum.WithSettings("entry-1.ini", "[process]\nname = Entry One\n"))
+	_, _ = fmt.Fprintln(os.Stdout, err != nil)
+	// Output: true
+}
