Read the calls in flight under the lock only

Tracker.InFlight read the length of the map of flights without its lock. The length was only a size hint.

--- a/internal/entry/track.go
+++ b/internal/entry/track.go
@@ -69,7 +69,7 @@
 // InFlight counts, for each server, the calls in flight under ownerships that are not open in the
 // table, and forgets the ownerships that have none.
 func (t *Tracker) InFlight(table *assign.Table) map[assign.ServerID]int {
-	open := make(map[grantKey]struct{}, len(t.flights))
+	open := make(map[grantKey]struct{})
 	for service, holdings := range table.Services {
 		for _, h := range holdings {
 			if h.Open {
