--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -1,10 +1,15 @@
 package entry
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"time"
 )
 
+// acceptPause is the time between two attempts to accept a connection after an error.
+const acceptPause = 10 * time.Millisecond
+
 // listener remembers the open connections of callers, so that the idle ones can be closed at the
 // end of a planned stop: a server waits for them otherwise, for as long as callers keep them open.
 type listener struct {
@@ -21,6 +26,11 @@
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
+	for err != nil && !errors.Is(err, net.ErrClosed) {
+		// Out of file descriptors, for example. The HTTP server would stop for good on an error.
+		time.Sleep(acceptPause)
+		conn, err = l.Listener.Accept()
+	}
 	if err != nil {
 		return nil, err
 	}
