--- a/cmd/standin/cmds.go
+++ b/cmd/standin/cmds.go
@@ -7,6 +7,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/samphiredrum/samphiredrum/internal/logs"
 	"github.com/samphiredrum/samphiredrum/internal/stand"
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 )
@@ -18,7 +19,7 @@
 		Short: "Run the stand-in platform: object API and list of VMs",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			o.Log = stand.NewLog(c.OutOrStdout())
+			o.Log = logs.New(c.OutOrStdout())
 			return serve(c, stand.NewPlatform(o))
 		},
 	}
@@ -47,7 +48,7 @@
 			o.Fencing = kind
 			o.Service = assign.ServiceID(service)
 			o.Run = time.Duration(runMs) * time.Millisecond
-			o.Log = stand.NewLog(c.OutOrStdout())
+			o.Log = logs.New(c.OutOrStdout())
 			return serve(c, stand.NewBackend(o))
 		},
 	}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -40,10 +40,10 @@
 
 // pair returns "key=value", quoted where the value has spaces or quotes.
 func pair(key string, value any) string {
-	text := fmt.Sprint(value)
 	if value == nil {
-		text = "-"
+		return ""
 	}
+	text := fmt.Sprint(value)
 	if strings.ContainsAny(text, " \"=") {
 		return fmt.Sprintf("%s=%q", key, text)
 	}
--- a/internal/stand/backend.go
+++ b/internal/stand/backend.go
@@ -152,8 +152,8 @@
 	b.incarnation = fmt.Sprintf("%s-%d", b.options.Name, b.started.UnixNano())
 	b.endpoint = newEndpoint(&gatedListener{Listener: l, backend: b}, b.serve)
 	b.endpoint.start()
-	b.options.Log.Info().Str("event", "backend-started").Str("server", b.options.Name).
-		Stringer("address", address).Str("incarnation", b.incarnation).Send()
+	b.options.Log.Info().Str("server", b.options.Name).
+		Stringer("address", address).Str("incarnation", b.incarnation).Msg("backend-started")
 	return nil
 }
 
@@ -197,7 +197,7 @@
 	b.mu.Unlock()
 	b.endpoint.stop()
 	b.history.close()
-	b.options.Log.Info().Str("event", event).Str("server", b.options.Name).Send()
+	b.options.Log.Info().Str("server", b.options.Name).Msg(event)
 }
 
 // Drain makes the server refuse new work. Work that waits or runs goes on.
@@ -213,7 +213,7 @@
 	b.fault = f
 	b.thaws = time.Now().Add(time.Duration(f.FreezeMs) * time.Millisecond)
 	b.mu.Unlock()
-	b.options.Log.Info().Str("event", "backend-fault").Str("server", b.options.Name).Interface("fault", f).Send()
+	b.options.Log.Info().Str("server", b.options.Name).Interface("fault", f).Msg("backend-fault")
 }
 
 // Fault returns the faults in force.
--- a/internal/stand/control.go
+++ b/internal/stand/control.go
@@ -101,7 +101,7 @@
 
 func (b *Backend) serveDrain(ctx *fasthttp.RequestCtx) {
 	b.Drain()
-	b.options.Log.Info().Str("event", "backend-draining").Str("server", b.options.Name).Send()
+	b.options.Log.Info().Str("server", b.options.Name).Msg("backend-draining")
 	writeJSON(ctx, b.receipt())
 }
 
--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -101,7 +101,7 @@
 	p.address = address
 	p.endpoint = newEndpoint(l, p.serve)
 	p.endpoint.start()
-	p.options.Log.Info().Str("event", "platform-started").Stringer("address", address).Send()
+	p.options.Log.Info().Stringer("address", address).Msg("platform-started")
 	return nil
 }
 
@@ -114,7 +114,7 @@
 func (p *Platform) Stop() {
 	close(p.stopped)
 	p.endpoint.stop()
-	p.options.Log.Info().Str("event", "platform-stopped").Send()
+	p.options.Log.Info().Msg("platform-stopped")
 }
 
 // SetFault replaces all faults.
@@ -122,7 +122,7 @@
 	p.mu.Lock()
 	p.fault = f
 	p.mu.Unlock()
-	p.options.Log.Info().Str("event", "platform-fault").Interface("fault", f).Send()
+	p.options.Log.Info().Interface("fault", f).Msg("platform-fault")
 }
 
 // Fault returns the faults in force.
