--- a/internal/scene/step.go
+++ b/internal/scene/step.go
@@ -156,6 +156,9 @@
 		if err != nil {
 			return err
 		}
+		if r.deployment.servers[id].alive() {
+			return ErrRun.New("%s runs; kill it before", id)
+		}
 		r.print(s.at(), "event=restarted server=%s", id)
 		if err := r.deployment.startServer(id); err != nil {
 			return err
@@ -167,6 +170,9 @@
 	if err != nil {
 		return err
 	}
+	if e.alive() {
+		return ErrRun.New("%s runs; kill it before", e.settings.Name)
+	}
 	if err := r.deployment.startEntry(e.settings.Name); err != nil {
 		return err
 	}
