--- a/internal/scene/words.go
+++ b/internal/scene/words.go
@@ -135,14 +135,13 @@
 	return Target{Kind: BackendServer, Name: name}
 }
 
-// promises returns what may stand after "expect promise". The two other promises have statements of
-// their own.
+// promises returns what may stand after "expect promise": the promises that audit.Check looks at.
 func promises() []string {
 	names := []string{"all"}
-	for _, p := range audit.PromiseValues() {
-		if p != audit.LeavingServer && p != audit.Uninterrupted {
-			names = append(names, p.String())
-		}
+	for _, p := range []audit.Promise{
+		audit.SoleOwner, audit.WholeAnswer, audit.NotRun, audit.AtMostOnce, audit.NotLost, audit.SameAnswer,
+	} {
+		names = append(names, p.String())
 	}
 	return names
 }
