--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -149,6 +149,11 @@
 	}
 }
 
+// Pending returns the number of calls without an answer that the server may still run.
+func (s *Server) Pending() int {
+	return len(s.pending())
+}
+
 // pending returns the calls without an answer.
 func (s *Server) pending() []unresolved {
 	s.mu.Lock()
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -163,13 +163,14 @@
 
 // loop looks at servers of services without owners, whose load is compared. The clock of a server
 // that owns keys is read with answers to calls and before a call after a pause, see entry, so an
-// idle process sends nothing to it.
+// idle process sends nothing to it unless calls without an answer are to be settled.
 func (w *watcher) loop() {
-	for w.choice != nil && w.ctx.Err() == nil {
-		w.look()
+	for w.ctx.Err() == nil {
+		if w.choice != nil || w.server.Pending() > 0 {
+			w.look()
+		}
 		wait(w.ctx, watchInterval)
 	}
-	<-w.ctx.Done()
 	if closer, ok := w.server.Client.(interface{ Close() error }); ok {
 		_ = closer.Close()
 	}
