Name the runs of the first recorders as soon as every process has answered

Bookings were refused for about 2 s in a new cell, because the first buckets name no runs and were looked at only after the silence.

--- a/pkg/owner/decider.go
+++ b/pkg/owner/decider.go
@@ -92,6 +92,8 @@
 	lostRecorders     map[assign.ProcessID]bool
 	drainingProcesses map[assign.ProcessID]bool
 	checkBuckets      bool
+	// gathered is set once every process has answered in this term.
+	gathered bool
 	// raised are the buckets whose horizon rises with the next table.
 	raised []int
 
--- a/pkg/owner/refresh_test.go
+++ b/pkg/owner/refresh_test.go
@@ -91,3 +91,22 @@
 		}
 	})
 })
+
+var _ = Describe("the first buckets", func() {
+	// Guards against bookings that are refused for seconds in a new cell, because the buckets do not
+	// name the runs of their recorders until the silence has passed.
+	It("name the runs of their recorders as soon as every process has answered", func() {
+		d, answer := cellOf(owner.Config{Cell: "c", Self: "p1"}, "p1", "p2", "p3")
+		runs := map[assign.ProcessID]string{"p1": "1", "p2": "2", "p3": "3"}
+		now := epoch
+		for range 2 {
+			now = now.Add(beat)
+			answer(now, runs)
+		}
+		for _, b := range d.Table().Buckets {
+			Expect(b.Incarnations).To(HaveLen(2))
+			Expect(b.Incarnations).NotTo(ContainElement(uint64(0)))
+			Expect(b.Horizon).To(BeZero(), "nothing can have been forgotten yet")
+		}
+	})
+})
--- a/pkg/owner/runs.go
+++ b/pkg/owner/runs.go
@@ -52,6 +52,11 @@
 		r.echo = e.Sent
 		r.echoAt = now
 	}
+	if !d.gathered && len(d.current) == len(d.processes) {
+		// The first buckets name no runs, so their recorders refuse until all of them are known.
+		d.gathered = true
+		d.checkBuckets = true
+	}
 	wasHeld := d.table != nil && d.Held(d.table.Version)
 	r.acknowledge(e)
 	if d.table != nil && !wasHeld && d.Held(d.table.Version) {
