entry: Bound the time of a booking by a quarter of the booking window

An operation may have a timeout as long as the window, and a recorder forgets an identifier after the window: a booking that ran so long could have been run again by a repeat.

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -62,6 +62,9 @@
 // HTTPConfig configures an HTTP server for callers.
 type HTTPConfig struct {
 	Limits conf.Limits
+	// BookingTime bounds the time of a booking, 0 for no bound. It must be well below the time for
+	// which recorders remember an identifier: a booking that outlived it could run twice.
+	BookingTime time.Duration
 	// TableVersion returns the version that issued booking identifiers carry.
 	TableVersion func() uint64
 	// TLS is the configuration towards callers, nil for plain text.
@@ -190,6 +193,9 @@
 		return call, refusal
 	}
 	timeout, refusal := readTimeout(c, call)
+	if call.Operation.Class == conf.Booking && h.config.BookingTime > 0 {
+		timeout = min(timeout, h.config.BookingTime)
+	}
 	call.Deadline, call.LatestDeadline = now.Add(timeout), latest.Add(timeout)
 	return call, refusal
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -170,6 +170,7 @@
 	n.server = server
 	n.http, err = entry.ListenHTTP(n.settings.CallerAddress.String(), n.router, entry.HTTPConfig{
 		Limits:       n.settings.Limits,
+		BookingTime:  n.settings.Timing.BookingWindow / windowParts,
 		TableVersion: n.recorder.version,
 		TLS:          n.callerTLS(),
 		Done:         n.meter.call,
