--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -80,6 +80,26 @@
 		Expect(err).To(MatchError(ContainSubstring("config/desk:1")))
 	})
 
+	// Guards against a text written past the check that takes processes down or puts nothing, or the
+	// half of it, in force.
+	It("keeps the configuration in force when a faulty one is stored", func() {
+		before := f.Node("entry-1").Status().Teams["desk"]
+		client := store.NewClient(f.Platform().Address(), store.Options{})
+		defer client.Close()
+		text, version, err := f.Node("entry-1").Config(ctx, "desk")
+		Expect(err).NotTo(HaveOccurred())
+		broken, err := client.Put(ctx, "config/desk", []byte("[team.desk"), version)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = client.Put(ctx, "config/desk", text, broken)
+		Expect(err).NotTo(HaveOccurred())
+		for _, name := range f.Names() {
+			Eventually(func() uint64 { return f.Node(name).Status().Teams["desk"] }).
+				WithTimeout(patience).Should(BeNumerically(">", broken))
+			Expect(f.Node(name).Status().Serving).To(BeTrue())
+		}
+		Expect(before).To(BeNumerically("<", broken))
+	})
+
 	// Guards against a process that starts from an older configuration or table than was accepted.
 	It("restarts a process from its peers while the store is down", func() {
 		f.Kill("entry-5")
--- a/internal/node/teams.go
+++ b/internal/node/teams.go
@@ -22,6 +22,8 @@
 	// latest is the highest version known of each team, inForce the parsed one that is used.
 	latest  map[string]peer.Team
 	inForce map[string]teamInForce
+	// refused is the last version of each team that has faults. It is parsed and logged once.
+	refused map[string]uint64
 }
 
 type teamInForce struct {
@@ -30,7 +32,7 @@
 }
 
 func newTeams(n *Node) *teams {
-	return &teams{node: n, latest: make(map[string]peer.Team), inForce: make(map[string]teamInForce)}
+	return &teams{node: n, latest: make(map[string]peer.Team), inForce: make(map[string]teamInForce), refused: make(map[string]uint64)}
 }
 
 // merge takes over the versions that are higher than the known ones.
@@ -47,7 +49,7 @@
 func (t *teams) apply() []string {
 	var changed []string
 	for name, l := range t.latest {
-		if l.Version <= t.inForce[name].version {
+		if l.Version <= t.inForce[name].version || l.Version == t.refused[name] {
 			continue
 		}
 		if len(l.Text) == 0 {
@@ -57,6 +59,7 @@
 		}
 		team, faults := conf.ParseTeam(name, teamPrefix+name, string(l.Text))
 		if len(faults) > 0 {
+			t.refused[name] = l.Version
 			t.node.log.Error().Str("team", name).Uint64("version", l.Version).Stringer("fault", faults[0]).
 				Msg("configuration refused")
 			continue
