--- a/internal/node/beat.go
+++ b/internal/node/beat.go
@@ -82,7 +82,9 @@
 	})
 	c.takeHeld(r.Held)
 	c.node.router.Lend(c.follower.Expires())
-	if !learned && c.follower.Table() != nil {
+	// A heartbeat meant for an earlier run may come from a decider that was paused since, and its table
+	// may be older than what that run had promised.
+	if !learned && r.Incarnation == c.node.run() && c.follower.Table() != nil {
 		c.elect(elect.StateLearned{HighestTerm: r.Term})
 	}
 	result := peer.BeatAnswer{
