--- a/internal/scene/settings.go
+++ b/internal/scene/settings.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io/fs"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -13,17 +12,12 @@
 
 	"github.com/samphiredrum/samphiredrum/examples"
 	"github.com/samphiredrum/samphiredrum/internal/conf"
+	"github.com/samphiredrum/samphiredrum/internal/fleet"
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 )
 
-const (
-	// firstPort and lastPort lie below the ports that Linux gives to outgoing connections, so that a
-	// port stays free between the test and the start of its process.
-	firstPort = 10_000
-	lastPort  = 32_000
-	// domains is the number of failure domains.
-	domains = 3
-)
+// domains is the number of failure domains.
+const domains = 3
 
 // settings are the files of a deployment and what was read back from them.
 type settings struct {
@@ -69,18 +63,17 @@
 // address returns a free loopback address that was not given out before.
 func (w *settingsWriter) address() netip.AddrPort {
 	for {
-		port := uint16(firstPort + rand.IntN(lastPort-firstPort))
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
-		if w.used[port] {
-			continue
-		}
-		l, err := net.Listen("tcp", address.String())
+		listener, err := fleet.ListenFree()
 		if err != nil {
-			continue
+			w.fail("no port of the loopback address is free: %s", err)
+			return netip.AddrPort{}
+		}
+		listener.Close()
+		address := listener.Addr().(*net.TCPAddr).AddrPort()
+		if !w.used[address.Port()] {
+			w.used[address.Port()] = true
+			return address
 		}
-		l.Close()
-		w.used[port] = true
-		return address
 	}
 }
 
