--- a/internal/cmds/config.go
+++ b/internal/cmds/config.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/pmezard/go-difflib/difflib"
 	"github.com/spf13/cobra"
 
 	"github.com/samphiredrum/samphiredrum/internal/conf"
+	"github.com/samphiredrum/samphiredrum/pkg/event"
 )
 
 // configCommand reads and changes the configuration of a team.
@@ -18,7 +20,7 @@
 		Args:  noArguments,
 		RunE:  func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	c.AddCommand(configGet(), configSet(), configDiff(), configValidate())
+	c.AddCommand(configGet(), configSet(), configDiff(), configHistory(), configValidate())
 	return c
 }
 
@@ -112,6 +114,40 @@
 	return c
 }
 
+func configHistory() *cobra.Command {
+	flags := &adminFlags{}
+	c := &cobra.Command{
+		Use:   "history TEAM",
+		Short: "Print which versions of a team's configuration were written and came into force, and where",
+		Long: "Selects the control events of all processes that concern the team. Each process keeps its last\n" +
+			"events only, so the history goes back as far as they do.",
+		Example: "  samphiredrum config history yards",
+		Args:    exactly("TEAM"),
+		RunE: func(c *cobra.Command, args []string) error {
+			client, err := flags.client()
+			if err != nil {
+				return err
+			}
+			timeline, err := client.Timeline()
+			if err != nil {
+				return err
+			}
+			timeline.Events = event.Select(timeline.Events, event.ByKinds(event.Configuration), ofTeam(args[0]))
+			return printTimeline(c, flags.output, timeline)
+		},
+	}
+	flags.add(c)
+	return c
+}
+
+// ofTeam selects events whose detail ends with the team's name.
+func ofTeam(team string) event.Filter {
+	return func(e event.Event) bool {
+		words := strings.Fields(e.Detail)
+		return len(words) > 0 && words[len(words)-1] == team
+	}
+}
+
 func configValidate() *cobra.Command {
 	return &cobra.Command{
 		Use:     "validate TEAM FILE",
--- a/internal/cmds/timeline.go
+++ b/internal/cmds/timeline.go
@@ -92,15 +92,20 @@
 }
 
 func (f *timelineFlags) print(c *cobra.Command, timeline admin.Timeline) error {
-	for _, p := range timeline.Silent {
-		c.PrintErrf("%s: process=%s did not answer; its events are missing\n", program, p)
-	}
 	if f.plot != "" {
 		if err := plotFile(f.plot, timeline.Events); err != nil {
 			return err
 		}
 	}
-	if f.output == outputJSON {
+	return printTimeline(c, f.output, timeline)
+}
+
+// printTimeline prints the events, and which processes did not answer.
+func printTimeline(c *cobra.Command, output string, timeline admin.Timeline) error {
+	for _, p := range timeline.Silent {
+		c.PrintErrf("%s: process=%s did not answer; its events are missing\n", program, p)
+	}
+	if output == outputJSON {
 		return printJSON(c.OutOrStdout(), timeline)
 	}
 	return event.WriteText(c.OutOrStdout(), timeline.Events)
