node: Pass on the configuration in force while a faulty one is stored; let calls to a removed server end

A process that started while a faulty text was stored got no configuration of that team: peers passed on the latest text instead of the one in force. A server taken out of the settings had its connections closed under its calls.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -90,6 +90,10 @@
 		Expect(err).NotTo(HaveOccurred())
 		broken, err := client.Put(ctx, "config/desk", []byte("[team.desk"), version)
 		Expect(err).NotTo(HaveOccurred())
+		f.Kill("entry-6")
+		Expect(f.Restart("entry-6")).To(Succeed())
+		Eventually(func() uint64 { return f.Node("entry-6").Status().Teams["desk"] }).
+			WithTimeout(patience).Should(Equal(before), "a process that starts gets what is in force from its peers")
 		_, err = client.Put(ctx, "config/desk", text, broken)
 		Expect(err).NotTo(HaveOccurred())
 		for _, name := range f.Names() {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -18,6 +18,8 @@
 	// watchInterval is the time between two looks of each process at each server of a service
 	// without owners.
 	watchInterval = 2 * time.Second
+	// drainPoll is the time between two looks whether the calls to a removed server have ended.
+	drainPoll = 100 * time.Millisecond
 	// vmInterval is the time between two reads of the VM list by the decider.
 	vmInterval = 2 * time.Second
 	// longShare is the part of a server's slots that long work may use: 2 of 6.
@@ -171,6 +173,10 @@
 		}
 		wait(w.ctx, watchInterval)
 	}
+	// A server that was taken out of the settings may still have calls in flight.
+	for w.server.Gate.Load().InFlight > 0 && w.node.ctx.Err() == nil {
+		wait(w.node.ctx, drainPoll)
+	}
 	if closer, ok := w.server.Client.(interface{ Close() error }); ok {
 		_ = closer.Close()
 	}
--- a/internal/node/teams.go
+++ b/internal/node/teams.go
@@ -28,6 +28,7 @@
 
 type teamInForce struct {
 	version uint64
+	source  peer.Team
 	team    conf.Team
 }
 
@@ -38,7 +39,7 @@
 // merge takes over the versions that are higher than the known ones.
 func (t *teams) merge(others []peer.Team) {
 	for _, o := range others {
-		if o.Version > t.latest[o.Name].Version {
+		if o.Version > t.latest[o.Name].Version && o.Version != t.refused[o.Name] {
 			t.latest[o.Name] = o
 		}
 	}
@@ -49,22 +50,24 @@
 func (t *teams) apply() []string {
 	var changed []string
 	for name, l := range t.latest {
-		if l.Version <= t.inForce[name].version || l.Version == t.refused[name] {
+		if l.Version <= t.inForce[name].version {
 			continue
 		}
 		if len(l.Text) == 0 {
-			t.inForce[name] = teamInForce{version: l.Version, team: conf.Team{Name: name}}
+			t.inForce[name] = teamInForce{version: l.Version, source: l, team: conf.Team{Name: name}}
 			changed = append(changed, name)
 			continue
 		}
 		team, faults := conf.ParseTeam(name, teamPrefix+name, string(l.Text))
 		if len(faults) > 0 {
+			// The one in force is passed on instead, also to processes that start.
 			t.refused[name] = l.Version
+			t.latest[name] = t.inForce[name].source
 			t.node.log.Error().Str("team", name).Uint64("version", l.Version).Stringer("fault", faults[0]).
 				Msg("configuration refused")
 			continue
 		}
-		t.inForce[name] = teamInForce{version: l.Version, team: team}
+		t.inForce[name] = teamInForce{version: l.Version, source: l, team: team}
 		changed = append(changed, name)
 	}
 	slices.Sort(changed)
@@ -85,7 +88,7 @@
 	var newer []peer.Team
 	for name, f := range t.inForce {
 		if f.version > versions[name] {
-			newer = append(newer, t.latest[name])
+			newer = append(newer, f.source)
 		}
 	}
 	return newer
