--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -33,7 +33,7 @@
 
 const (
 	// MaxBytes is the size limit of one settings text in bytes. The object API stores values of up
-	// to 1 MB; the token of the writer is stored with the text.
+	// to 1 MB; the rest is left for what an adapter may store with the text.
 	MaxBytes = 1_000_000 - 256
 	// MaxFaults is the number of faults one parser reports. It bounds the answer to an operator
 	// who submits a text of another format.
