--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -30,7 +30,7 @@
 
 // Filter implements Filter.
 func (s *send) Filter(ctx context.Context, c *Call, _ Next) Result {
-	if c.target.holding.Base == 0 {
+	if !c.target.owned() {
 		return s.exchange(ctx, c, nil)
 	}
 	f := s.router.tracker.enter(c.Service.ID, c.target.holding)
@@ -50,15 +50,13 @@
 	if f != nil && server.Fencing != assign.None {
 		server.Refresh(ctx, s.router.config.Clock.Now())
 	}
-	now := s.router.config.Clock.Now()
-	deadline := c.Deadline
-	// The lease is read on Latest, which may be ahead of Now; what is left of it is the same on both.
-	lent := now.Add(s.router.Expires().Sub(s.router.config.Clock.Latest()))
-	if f != nil && lent.Before(deadline) {
+	deadline := c.LatestDeadline
+	if expires := s.router.Expires(); f != nil && expires.Before(deadline) {
 		// The serving lease caps Not-After, so that its lapse is known to end the call.
-		deadline = lent
+		deadline = expires
 	}
-	notAfter, known := server.NotAfter(deadline)
+	left := deadline.Sub(s.router.config.Clock.Latest())
+	notAfter, known := server.callNotAfter(s.router.config.Clock, deadline)
 	if f != nil && !known && server.Fencing != assign.None {
 		f.leave()
 		return refuse(ReasonNoServer, "the clock of the server is not known yet; repeat the call")
@@ -73,7 +71,7 @@
 		return answered(answer)
 	}
 	if f != nil && back.KindOf(err) == back.Unknown && !s.ended(c, server) {
-		server.hold(f, incarnation, attemptID(c), deadline.Sub(now))
+		server.hold(f, incarnation, attemptID(c), left)
 	} else {
 		leave(f)
 	}
@@ -88,7 +86,6 @@
 
 // request returns the call as it is sent.
 func (s *send) request(c *Call, notAfter time.Time) back.Call {
-	exclusive := c.target.holding.Base != 0
 	return back.Call{
 		RequestID: attemptID(c),
 		Method:    c.Method,
@@ -97,7 +94,7 @@
 		Headers:   c.Headers,
 		Body:      c.Body,
 		Service:   c.Service.ID,
-		Keyed:     exclusive,
+		Keyed:     c.target.owned(),
 		KeyHash:   c.Hash,
 		Fence:     c.target.holding.Fence(),
 		Deadline:  c.LatestDeadline,
@@ -114,7 +111,7 @@
 	if !s.router.config.Clock.Latest().Before(c.LatestDeadline) {
 		return errDeadline
 	}
-	if c.target.holding.Base != 0 && !s.router.View().same(c.Service.ID, c.Hash, c.target.holding) {
+	if c.target.owned() && !s.router.View().same(c.Service.ID, c.Hash, c.target.holding) {
 		return errMoved
 	}
 	return nil
@@ -157,7 +154,7 @@
 	result := refuse(ReasonRefused, "the server refused the call ("+reason.String()+"); repeat it later")
 	result.RetryAfter = waitForServer
 	result.shed = reason == back.Shedding || reason == back.Cold
-	if c.target.holding.Base != 0 && (reason == back.Draining || reason == back.NoGrant || reason == back.StaleFence) {
+	if c.target.owned() && (reason == back.Draining || reason == back.NoGrant || reason == back.StaleFence) {
 		// The key is about to move, or its new owner has not got its grant yet.
 		result.moving = true
 		s.suspect(c)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/samphiredrum/samphiredrum/internal/back"
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
+	"github.com/samphiredrum/samphiredrum/pkg/clock"
 	"github.com/samphiredrum/samphiredrum/pkg/lease"
 	"github.com/samphiredrum/samphiredrum/pkg/limit"
 )
@@ -131,6 +132,13 @@
 	return s.incarnation
 }
 
+// callNotAfter maps the deadline of a call, a reading of clock.Clock.Latest, to the server's clock.
+func (s *Server) callNotAfter(c clock.Clock, deadline time.Time) (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return back.NotAfter(c, s.clock, deadline)
+}
+
 // NotAfter maps a deadline, a reading of clock.Clock.Now, to the server's clock.
 func (s *Server) NotAfter(deadline time.Time) (time.Time, bool) {
 	s.mu.Lock()
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -39,6 +39,11 @@
 	holding assign.Holding
 }
 
+// owned reports whether the call goes to the owner of its key. Fencing numbers begin at 1.
+func (t target) owned() bool {
+	return t.holding.Base != 0
+}
+
 // same reports whether the view still sends the key to the same owner under the same fence.
 func (v *View) same(service assign.ServiceID, hash uint64, holding assign.Holding) bool {
 	if v.Table == nil {
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"io/fs"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"path"
@@ -91,29 +90,6 @@
 	return l.free[address]
 }
 
-// The ports that fleets use are below those that the kernel gives to outgoing connections (32768 and
-// up). A port from that range could be taken by a connection between the moment it is found free and
-// its use.
-const (
-	firstPort = 12000
-	lastPort  = 31999
-	portTries = 100
-)
-
-// ListenFree returns a listener on a free port of the loopback address. The error is that of the last
-// of many tries.
-func ListenFree() (net.Listener, error) {
-	var err error
-	for range portTries {
-		port := firstPort + rand.IntN(lastPort-firstPort+1)
-		var listener net.Listener
-		if listener, err = net.Listen("tcp", netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port)).String()); err == nil {
-			return listener, nil
-		}
-	}
-	return nil, err
-}
-
 func (l *loader) process(plan *Plan, name string) error {
 	text, err := l.read(name)
 	if err != nil {
--- a/internal/node/decide.go
+++ b/internal/node/decide.go
@@ -297,20 +297,31 @@
 type readTask struct{ node *Node }
 
 func (t *readTask) run() {
-	ctx, cancel := context.WithTimeout(t.node.ctx, t.node.settings.Timing.StoreTimeout)
+	record, version, ok := t.node.readRecord()
+	if !ok {
+		// The decider asks again.
+		return
+	}
+	t.node.post(recordAnswered{event: owner.RecordRead{Record: record, Version: version}})
+}
+
+// readRecord returns the stored record and its version, nil and 0 where there is none. It reports
+// false where the object API does not answer or the object cannot be read.
+func (n *Node) readRecord() (*assign.Record, uint64, bool) {
+	ctx, cancel := context.WithTimeout(n.ctx, n.settings.Timing.StoreTimeout)
 	defer cancel()
-	object, err := t.node.api.Get(ctx, t.node.recordName())
+	object, err := n.api.Get(ctx, n.recordName())
 	switch store.KindOf(err) {
 	case store.NoError:
 		record := new(assign.Record)
 		if err := json.Unmarshal(object.Value, record); err != nil {
-			t.node.log.Error().Err(err).Msg("the stored record cannot be read; restore the object from the platform's history")
-			return
+			n.log.Error().Err(err).Msg("the stored record cannot be read; restore the object from the platform's history")
+			return nil, 0, false
 		}
-		t.node.post(recordAnswered{event: owner.RecordRead{Record: record, Version: object.Version}})
+		return record, object.Version, true
 	case store.NotFound:
-		t.node.post(recordAnswered{event: owner.RecordRead{}})
+		return nil, 0, true
 	case store.Conflict, store.Limited, store.TooOld, store.Unknown, store.Down:
-		// The decider asks again.
 	}
+	return nil, 0, false
 }
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -1,12 +1,9 @@
 package node
 
 import (
-	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/samphiredrum/samphiredrum/internal/peer"
-	"github.com/samphiredrum/samphiredrum/internal/store"
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 	"github.com/samphiredrum/samphiredrum/pkg/elect"
 	"github.com/samphiredrum/samphiredrum/pkg/event"
@@ -95,15 +92,11 @@
 func (c *control) stateAnswered(m stateAnswered) {
 	c.states[m.from] = m.answer
 	learned, highest := 0, uint64(0)
-	var table *assign.Table
 	for _, s := range c.states {
 		highest = max(highest, s.HighestTerm)
 		if s.Learned {
 			learned++
 		}
-		if t := s.State.Table; t != nil && (table == nil || t.Version > table.Version) {
-			table = t
-		}
 	}
 	if learned < c.machine.Quorum() {
 		// At the start of a whole cell nobody has learned the state. The term in the stored record
@@ -113,7 +106,7 @@
 		}
 		return
 	}
-	c.learn(table, highest)
+	c.learn(highest)
 }
 
 // coldWait is the time for which a process that starts waits for the answers of all other electors.
@@ -131,9 +124,13 @@
 }
 
 // learn takes over the state of the cell after a start.
-func (c *control) learn(table *assign.Table, highest uint64) {
+func (c *control) learn(highest uint64) {
+	var table *assign.Table
 	for _, s := range c.states {
 		c.teams.merge(s.State.Teams)
+		if t := s.State.Table; t != nil && (table == nil || t.Version > table.Version) {
+			table = t
+		}
 	}
 	if table != nil {
 		c.follow(owner.TableLearned{Table: table})
@@ -199,33 +196,21 @@
 }
 
 func (t *coldTask) run() {
-	ctx, cancel := context.WithTimeout(t.node.ctx, t.node.settings.Timing.StoreTimeout)
-	defer cancel()
-	object, err := t.node.api.Get(ctx, t.node.recordName())
-	switch store.KindOf(err) {
-	case store.NoError:
-		var record assign.Record
-		if err := json.Unmarshal(object.Value, &record); err != nil {
-			t.node.log.Error().Err(err).Msg("the stored record cannot be read; restore the object from the platform's history")
-			return
-		}
-		t.node.post(coldStarted{highest: max(t.highest, record.Term)})
-	case store.NotFound:
-		t.node.post(coldStarted{highest: t.highest})
-	case store.Conflict, store.Limited, store.TooOld, store.Unknown, store.Down:
+	record, _, ok := t.node.readRecord()
+	if !ok {
 		// The election asks for the states again.
+		return
+	}
+	highest := t.highest
+	if record != nil {
+		highest = max(highest, record.Term)
 	}
+	t.node.post(coldStarted{highest: highest})
 }
 
 func (c *control) coldStarted(m coldStarted) {
 	if c.machine.Learned() {
 		return
 	}
-	var table *assign.Table
-	for _, s := range c.states {
-		if t := s.State.Table; t != nil && (table == nil || t.Version > table.Version) {
-			table = t
-		}
-	}
-	c.learn(table, m.highest)
+	c.learn(m.highest)
 }
