--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -58,8 +58,8 @@
 // commands returns the commands of the program.
 func commands() []*cobra.Command {
 	return []*cobra.Command{
-		checkCommand(), configCommand(), demoCommand(), drainCommand(), serveCommand(), statusCommand(),
-		timelineCommand(), versionCommand(),
+		checkCommand(), configCommand(), demoCommand(), drainCommand(), entryCommand(), serveCommand(),
+		statusCommand(), timelineCommand(), versionCommand(),
 	}
 }
 
--- /dev/null
+++ b/internal/relay/meter.go
@@ -0,0 +1,36 @@
+package relay
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Meter counts requests and their latencies.
+type Meter struct {
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+}
+
+// latencyBuckets are the bounds of the latency histogram in seconds.
+var latencyBuckets = []float64{0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4}
+
+// NewMeter returns a Meter whose metrics are registered.
+func NewMeter(r prometheus.Registerer) *Meter {
+	m := &Meter{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "samphiredrum_requests_total", Help: "Requests by rule, status and reason of an own answer.",
+		}, []string{"rule", "status", "reason"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "samphiredrum_request_seconds", Help: "Time from a request to its answer, in seconds.", Buckets: latencyBuckets,
+		}, []string{"rule"}),
+	}
+	r.MustRegister(m.requests, m.latency)
+	return m
+}
+
+func (m *Meter) observe(rule string, status int, r Reason, took time.Duration) {
+	m.requests.WithLabelValues(rule, strconv.Itoa(status), r.String()).Inc()
+	m.latency.WithLabelValues(rule).Observe(took.Seconds())
+}
--- /dev/null
+++ b/internal/steer/lead.go
@@ -0,0 +1,249 @@
+package steer
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/samphiredrum/samphiredrum/internal/store"
+	"github.com/samphiredrum/samphiredrum/pkg/leader"
+	"github.com/samphiredrum/samphiredrum/pkg/shard"
+)
+
+// advance steps the candidate and carries out its actions.
+func (c *Control) advance(now time.Time, e leader.Event) {
+	actions := c.candidate.Step(now, e)
+	c.lead(now)
+	for _, a := range actions {
+		switch a := a.(type) {
+		case leader.Read:
+			c.group.Go(readRecord{control: c}.run)
+		case leader.Write:
+			c.writeRecord(a)
+		}
+	}
+}
+
+// lead follows a change of who leads.
+func (c *Control) lead(now time.Time) {
+	leads := c.candidate.Leads(now)
+	if leads {
+		c.until.Store(c.candidate.Expires().UnixNano())
+	}
+	if leads == c.leads {
+		return
+	}
+	c.leads = leads
+	if !leads {
+		c.until.Store(0)
+		c.options.Log.Info().Uint64("term", c.candidate.Term()).Msg("lead-lost")
+		c.answerParked(now)
+		return
+	}
+	c.options.Log.Info().Uint64("term", c.candidate.Term()).Msg("lead-taken")
+	c.have.Run = c.run
+	c.processes = 1
+	c.target(netip.AddrPort{})
+	c.decide(now, shard.Began{Tables: c.record.Services})
+	c.relist(now)
+}
+
+// decide steps the decider and carries out its actions.
+func (c *Control) decide(now time.Time, e shard.Event) {
+	if !c.leads {
+		return
+	}
+	for _, a := range c.decider.Step(now, e) {
+		switch a := a.(type) {
+		case shard.Write:
+			c.urgent = true
+			c.candidate.Hurry(now)
+		case shard.Grant:
+			c.group.Go(grantOrder{control: c, grant: a}.run)
+		case shard.Release:
+			c.options.Log.Info().Str("service", string(a.Service)).Uint16("first", a.Range.First).Uint16("last", a.Range.Last).
+				Str("from", string(a.Holder.Server)).Uint64("fence", uint64(a.Fence)).Msg("keys-recalled")
+			c.group.Go(releaseOrder{control: c, release: a}.run)
+		}
+	}
+	if c.urgent {
+		c.urgent = false
+		c.advance(now, leader.Tick{})
+	}
+}
+
+// writeRecord writes the record with the tables: those of the decider, or at the start of a term
+// those of the record that it replaces.
+func (c *Control) writeRecord(w leader.Write) {
+	r := record{Leader: w.Record, Address: c.options.Address, Services: c.record.Services}
+	tables := uint64(0)
+	if c.leads {
+		r.Services, tables = c.decider.Tables()
+	}
+	value, err := r.value()
+	if err != nil {
+		c.options.Log.Error().Err(err).Msg("record-unwritable")
+		return
+	}
+	c.group.Go(writeRecord{control: c, record: w.Record, value: value, tables: tables, ifVersion: w.IfVersion}.run)
+}
+
+func (c *Control) recordWritten(now time.Time, e recordWritten) {
+	c.answered(now, e.err)
+	switch {
+	case e.err == nil:
+		c.advance(now, leader.Written{Sequence: e.record.Sequence, Version: e.version})
+		c.decide(now, shard.Stored{Write: e.tables})
+		if c.decider.Unstored() {
+			c.candidate.Hurry(now)
+			c.advance(now, leader.Tick{})
+		}
+	case store.KindOf(e.err) == store.Conflict:
+		c.options.Log.Info().Uint64("sequence", e.record.Sequence).Msg("record-conflict")
+		c.advance(now, leader.Conflict{})
+	default:
+		c.options.Log.Warn().Uint64("sequence", e.record.Sequence).Err(e.err).Msg("record-write-failed")
+		c.advance(now, leader.Failed{Write: true})
+	}
+}
+
+func (c *Control) recordRead(now time.Time, e recordRead) {
+	c.answered(now, e.err)
+	if store.KindOf(e.err) == store.NotFound {
+		c.record = record{}
+		c.advance(now, leader.Missing{})
+		return
+	}
+	if e.err != nil {
+		c.options.Log.Warn().Str("what", "record").Err(e.err).Msg("store-read-failed")
+		c.advance(now, leader.Failed{})
+		return
+	}
+	r, err := parseRecord(e.object)
+	if err != nil {
+		c.options.Log.Error().Err(err).Msg("record-unreadable")
+		c.advance(now, leader.Failed{})
+		return
+	}
+	c.record = r
+	c.advance(now, leader.Seen{Record: r.Leader, Version: e.object.Version})
+	if c.leads {
+		return
+	}
+	if c.tables == nil || c.have.Run != r.Leader.Run {
+		// Until the leader answers, the stored tables are the best that is known.
+		c.tables = r.Services
+		c.have.Run, c.have.Tables = r.Leader.Run, 0
+		c.published = Versions{}
+	}
+	if r.Leader.Holder != "" && r.Leader.Run != c.run {
+		c.target(r.Address)
+	}
+}
+
+// target sets the process to follow.
+func (c *Control) target(address netip.AddrPort) {
+	select {
+	case <-c.follow.target:
+	default:
+	}
+	c.follow.target <- address
+}
+
+// asked handles a follower's call: it is answered at once where the follower lacks something, or
+// kept until something changes.
+func (c *Control) asked(now time.Time, a asked) {
+	if c.leads {
+		c.followers[a.ask.From] = now
+		for service, keys := range a.ask.Used {
+			c.decide(now, shard.Used{Service: service, Keys: keys})
+		}
+	}
+	c.parked = append(c.parked, a)
+	c.answerParked(now)
+}
+
+// answerParked answers the calls that have waited long enough or lack something.
+func (c *Control) answerParked(now time.Time) {
+	kept := c.parked[:0]
+	for _, a := range c.parked {
+		if c.leads && a.ask.Have == c.published && age(now, a.since) < parkTime {
+			kept = append(kept, a)
+			continue
+		}
+		a.answer <- c.answer(now, a)
+	}
+	clear(c.parked[len(kept):])
+	c.parked = kept
+}
+
+// answer returns what the follower lacks.
+func (c *Control) answer(now time.Time, q asked) Answer {
+	if !c.leads {
+		return Answer{}
+	}
+	for f, at := range c.followers {
+		if age(now, at) > followerAge {
+			delete(c.followers, f)
+		}
+	}
+	c.processes = 1 + len(c.followers)
+	a := Answer{
+		Leads:      true,
+		Have:       c.published,
+		Processes:  c.processes,
+		Parked:     age(now, q.since),
+		ConfigAge:  age(now, c.config.confirmed),
+		ServersAge: age(now, c.list.confirmed),
+	}
+	have := q.ask.Have
+	other := have.Run != c.published.Run
+	if other || have.Config != c.published.Config {
+		a.Config = c.config.object.Value
+		a.ConfigRevision = c.config.object.Version
+	}
+	if other || have.Servers != c.published.Servers {
+		a.HasServers, a.Servers = c.list.directory.Known(), c.list.directory.Servers()
+	}
+	if other || have.Tables != c.published.Tables {
+		a.HasTables, a.Tables = true, c.tables
+	}
+	return a
+}
+
+// ask returns the call of this process to the leader. It is called by the follower's goroutine.
+func (c *Control) ask() Ask {
+	return Ask{From: c.options.Address, Have: *c.known.Load(), Used: c.tally.take()}
+}
+
+// followed handles the leader's answer.
+func (c *Control) followed(now time.Time, e followed) {
+	if e.err != nil || !e.answer.Leads || c.leads {
+		if e.err != nil && !c.leads {
+			c.options.Log.Warn().Err(e.err).Msg("leader-unreachable")
+		}
+		return
+	}
+	a := e.answer
+	c.advance(now, leader.Alive{})
+	if confirmed := e.sent.Add(a.Parked - a.ConfigAge); c.config.confirmed.Before(confirmed) {
+		c.config.confirmed = confirmed
+	}
+	if a.Config != nil {
+		c.useConfig(now, store.Object{Name: c.options.Formats.ConfigObject, Version: a.ConfigRevision, Value: a.Config})
+	}
+	if confirmed := e.sent.Add(a.Parked - a.ServersAge); !c.list.confirmed.After(confirmed) {
+		c.list.confirmed = confirmed
+		if a.HasServers && c.list.directory.Replace(a.Servers) {
+			c.options.Log.Info().Int("servers", len(a.Servers)).Msg("servers-changed")
+		}
+	}
+	if a.HasTables {
+		c.tables = a.Tables
+	}
+	if a.Processes != c.processes {
+		c.processes = a.Processes
+		c.published = Versions{}
+	}
+	c.have = a.Have
+	c.known.Store(&a.Have)
+}
--- /dev/null
+++ b/internal/steer/talk.go
@@ -0,0 +1,205 @@
+package steer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/sourcegraph/conc"
+
+	"github.com/samphiredrum/samphiredrum/pkg/assign"
+	"github.com/samphiredrum/samphiredrum/pkg/shard"
+)
+
+const (
+	// talkTimeout bounds a follower's call, which the leader may keep open for parkTime.
+	talkTimeout = parkTime + 400*time.Millisecond
+	// talkPause is the time between calls to a leader that did not answer.
+	talkPause = 200 * time.Millisecond
+	// talkDial bounds the opening of the connection to the leader.
+	talkDial = 300 * time.Millisecond
+	// rpcMethod is the name of the one remote method.
+	rpcMethod = "Cell.Follow"
+)
+
+// Versions say which state a process has. They count within one run of the leader.
+type Versions struct {
+	Run     string
+	Config  uint64
+	Servers uint64
+	Tables  uint64
+}
+
+// Ask is a follower's call to the leader.
+type Ask struct {
+	// From is the follower's address for messages between processes.
+	From netip.AddrPort
+	Have Versions
+	// Used are the keys of requests since the last call, by service.
+	Used map[assign.ServiceID][]uint16
+}
+
+// Answer is the leader's answer. Parts that the follower has are left out.
+type Answer struct {
+	// Leads is false where the process does not lead.
+	Leads     bool
+	Have      Versions
+	Processes int
+	// ConfigAge and ServersAge are the times since the leader read them.
+	ConfigAge  time.Duration
+	ServersAge time.Duration
+	// Parked is how long the leader kept the call before it answered.
+	Parked time.Duration
+	Config []byte
+	// ConfigRevision is the store's revision of Config.
+	ConfigRevision uint64
+	HasServers     bool
+	Servers        []assign.Server
+	HasTables      bool
+	Tables         map[assign.ServiceID]shard.Table
+}
+
+// host answers the calls of followers.
+type host struct {
+	control  *Control
+	listener net.Listener
+	server   *rpc.Server
+	group    conc.WaitGroup
+}
+
+// cell is the receiver of the remote method.
+type cell struct{ control *Control }
+
+// Follow hands a call to the control goroutine and waits for its answer.
+func (c *cell) Follow(ask Ask, answer *Answer) error {
+	a := asked{ask: ask, answer: make(chan Answer, 1), since: c.control.options.Clock.Now()}
+	if !c.control.post(a) {
+		return ErrStopped.New("the process is stopping; ask the store for the leader")
+	}
+	select {
+	case *answer = <-a.answer:
+		return nil
+	case <-c.control.done:
+		return ErrStopped.New("the process is stopping; ask the store for the leader")
+	}
+}
+
+// ErrStopped is the type of errors of calls to a process that stops.
+var ErrStopped = namespace.NewType("stopped").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+
+func listen(c *Control) (*host, error) {
+	l, err := net.Listen("tcp", c.options.Address.String())
+	if err != nil {
+		return nil, ErrListen.Wrap(err, "free the address %s for messages between processes", c.options.Address)
+	}
+	h := &host{control: c, listener: l, server: rpc.NewServer()}
+	if err := h.server.RegisterName("Cell", &cell{control: c}); err != nil {
+		return nil, ErrListen.Wrap(err, "the remote method does not fit net/rpc")
+	}
+	h.group.Go(h.run)
+	return h, nil
+}
+
+func (h *host) run() {
+	for {
+		n, err := h.listener.Accept()
+		if err != nil {
+			return
+		}
+		s := session{server: h.server, connection: n}
+		h.group.Go(s.run)
+	}
+}
+
+// session is one connection of a follower.
+type session struct {
+	server     *rpc.Server
+	connection net.Conn
+}
+
+func (s session) run() { s.server.ServeConn(s.connection) }
+
+// follower keeps one call open at the leader.
+type follower struct {
+	control *Control
+	// target receives the leader's address, the zero value where there is none to follow.
+	target chan netip.AddrPort
+}
+
+func (f *follower) run() {
+	var address netip.AddrPort
+	var client *rpc.Client
+	defer func() { closeClient(client) }()
+	for {
+		if !address.IsValid() {
+			select {
+			case address = <-f.target:
+			case <-f.control.done:
+				return
+			}
+			continue
+		}
+		select {
+		case next := <-f.target:
+			if next != address {
+				closeClient(client)
+				client, address = nil, next
+			}
+			continue
+		case <-f.control.done:
+			return
+		default:
+		}
+		sent := f.control.options.Clock.Now()
+		answer, err := Answer{}, error(nil)
+		if client == nil {
+			client, err = dial(address)
+		}
+		if err == nil {
+			answer, err = f.call(client)
+		}
+		f.control.post(followed{sent: sent, answer: answer, err: err})
+		if err == nil && answer.Leads {
+			continue
+		}
+		closeClient(client)
+		client = nil
+		select {
+		case <-time.After(talkPause):
+		case <-f.control.done:
+			return
+		}
+	}
+}
+
+func closeClient(c *rpc.Client) {
+	if c != nil {
+		c.Close()
+	}
+}
+
+func dial(address netip.AddrPort) (*rpc.Client, error) {
+	n, err := net.DialTimeout("tcp", address.String(), talkDial)
+	if err != nil {
+		return nil, err
+	}
+	return rpc.NewClient(n), nil
+}
+
+func (f *follower) call(client *rpc.Client) (Answer, error) {
+	var answer Answer
+	done := client.Go(rpcMethod, f.control.ask(), &answer, make(chan *rpc.Call, 1)).Done
+	timer := time.NewTimer(talkTimeout)
+	defer timer.Stop()
+	select {
+	case c := <-done:
+		return answer, c.Error
+	case <-timer.C:
+		return Answer{}, context.DeadlineExceeded
+	case <-f.control.done:
+		return Answer{}, context.Canceled
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -99,9 +99,9 @@
 	VMs
 )
 
-// API is what the program needs from the platform. Every method takes its timeout from the
-// context's deadline and returns errors of type *Error.
-type API interface {
+// Objects is the object API. Every method takes its timeout from the context's deadline and
+// returns errors of type *Error.
+type Objects interface {
 	// Get returns an object, or an error of kind NotFound.
 	Get(ctx context.Context, name string) (Object, error)
 	// Put writes an object whose version is ifVersion, where 0 means that it must be absent, and
@@ -117,6 +117,11 @@
 	// to go on from. It returns an error of kind TooOld where the store has forgotten changes
 	// since after.
 	Watch(ctx context.Context, prefix string, after uint64) ([]Change, uint64, error)
+}
+
+// API is the object API together with the platform's list of VMs.
+type API interface {
+	Objects
 	// VMs returns the platform's list of VMs.
 	VMs(ctx context.Context) ([]VM, error)
 }
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -6,10 +6,13 @@
 	"errors"
 	"io"
 	"net"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -19,6 +22,11 @@
 	// maxInterim bounds the 1xx answers before the final one, so that a peer cannot keep a call
 	// busy with them.
 	maxInterim = 8
+	// maxSkipped bounds the answers to other requests before the one that is waited for.
+	maxSkipped = 4
+	// idleSlack is how much sooner than the peer a connection is given up, so that a request does
+	// not cross the peer's close.
+	idleSlack = time.Second
 )
 
 // past is a deadline that makes every read and write fail at once.
@@ -31,11 +39,13 @@
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	used    time.Time
-	wrote   bool
+	// idle is how long the connection may be unused.
+	idle  time.Duration
+	wrote bool
 }
 
 func newConn(n net.Conn, o Options) *conn {
-	c := &conn{Conn: n, options: o}
+	c := &conn{Conn: n, options: o, idle: o.Idle}
 	c.reader = bufio.NewReaderSize(n, readBytes)
 	c.writer = bufio.NewWriterSize(c, writeBytes)
 	return c
@@ -50,7 +60,9 @@
 	return n, err
 }
 
-func (c *conn) roundTrip(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) (Trip, error) {
+func (c *conn) roundTrip(
+	ctx context.Context, request *fasthttp.Request, response *fasthttp.Response, match func(*fasthttp.Response) bool,
+) (Trip, error) {
 	c.wrote = false
 	deadline, _ := ctx.Deadline()
 	if err := c.SetDeadline(deadline); err != nil {
@@ -58,7 +70,7 @@
 	}
 	stop := context.AfterFunc(ctx, c.interrupt)
 	trip := Trip{Sent: c.options.Clock.Latest()}
-	err := c.exchange(ctx, request, response)
+	err := c.exchange(ctx, request, response, match)
 	trip.Wrote = c.wrote
 	trip.Answered = c.options.Clock.Now()
 	if !stop() && err == nil {
@@ -78,10 +90,12 @@
 	_ = c.SetDeadline(past)
 }
 
-func (c *conn) exchange(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) error {
+func (c *conn) exchange(
+	ctx context.Context, request *fasthttp.Request, response *fasthttp.Response, match func(*fasthttp.Response) bool,
+) error {
 	err := c.send(request)
 	if err == nil {
-		err = c.receive(request, response)
+		err = c.receiveMatching(request, response, match)
 	}
 	if err == nil {
 		return nil
@@ -105,6 +119,39 @@
 	return c.writer.Flush()
 }
 
+// receiveMatching reads answers until one belongs to the request.
+func (c *conn) receiveMatching(
+	request *fasthttp.Request, response *fasthttp.Response, match func(*fasthttp.Response) bool,
+) error {
+	for range maxSkipped {
+		if err := c.receive(request, response); err != nil {
+			return err
+		}
+		if match == nil || match(response) {
+			c.limitIdle(response)
+			return nil
+		}
+		if response.ConnectionClose() {
+			return errors.New("the peer answered another request and closed the connection")
+		}
+	}
+	return errors.New("the peer sent too many answers to other requests")
+}
+
+// limitIdle follows the time that the peer keeps an idle connection, where it says so.
+func (c *conn) limitIdle(response *fasthttp.Response) {
+	_, text, found := strings.Cut(string(response.Header.Peek("Keep-Alive")), "timeout=")
+	if !found {
+		return
+	}
+	text, _, _ = strings.Cut(text, ",")
+	seconds, err := strconv.Atoi(strings.TrimSpace(text))
+	if err != nil {
+		return
+	}
+	c.idle = min(c.options.Idle, time.Duration(seconds)*time.Second-idleSlack)
+}
+
 func (c *conn) receive(request *fasthttp.Request, response *fasthttp.Response) error {
 	response.Reset()
 	response.SkipBody = request.Header.IsHead()
@@ -116,7 +163,10 @@
 	}
 	length := response.Header.ContentLength()
 	if length < -1 {
-		return ErrUnmarkedEnd
+		if !c.options.UnmarkedEnd {
+			return ErrUnmarkedEnd
+		}
+		response.SetConnectionClose()
 	}
 	if err := response.ReadBody(c.reader, c.options.BodyBytes); err != nil {
 		return err
@@ -168,3 +218,17 @@
 	})
 	return err == nil && errors.Is(readErr, syscall.EAGAIN)
 }
+
+// control sets the options of a new connection's socket.
+func (o Options) control(_, _ string, raw syscall.RawConn) error {
+	if o.Silence <= 0 {
+		return nil
+	}
+	var err error
+	if e := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(o.Silence.Milliseconds()))
+	}); e != nil {
+		return e
+	}
+	return err
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -5,7 +5,8 @@
 // itself and does its own reading and writing with the message types of fasthttp: the client of
 // fasthttp retries idempotent requests and does not report whether it wrote. A connection with an
 // error, or with bytes or an end of stream before its request, is closed and never used again.
-// Only answers whose end is marked, by Content-Length or by chunks, count as complete.
+// Only answers whose end is marked, by Content-Length or by chunks, count as complete, unless
+// Options.UnmarkedEnd allows others.
 //
 // # Usage
 //
@@ -54,6 +55,12 @@
 	Idle time.Duration
 	// Dial is the longest time to open a connection, 1 s by default.
 	Dial time.Duration
+	// Silence is how long the peer may leave sent bytes without a sign of receipt before the
+	// connection fails, 0 for the default of the system. A peer that lost its power shows only so.
+	Silence time.Duration
+	// UnmarkedEnd takes an answer without Content-Length and chunks as complete where the peer
+	// closes the connection properly after it.
+	UnmarkedEnd bool
 	// Clock is read for the times of a Trip, the system clock by default.
 	Clock clock.Clock
 }
@@ -74,6 +81,9 @@
 	// Before is called once a connection is free, before the first byte is written. Its error
 	// ends the call with nothing written.
 	Before func() error
+	// Match reports whether an answer belongs to the request. Another answer is skipped, at most
+	// maxSkipped in a row. Nil takes every answer.
+	Match func(*fasthttp.Response) bool
 	// After is called with the complete answer. Its error closes the connection.
 	After func() error
 }
@@ -133,7 +143,7 @@
 		p.release(c, true)
 		return Trip{}, err
 	}
-	trip, err := c.roundTrip(ctx, request, response)
+	trip, err := c.roundTrip(ctx, request, response, h.Match)
 	if err == nil {
 		err = h.after()
 	}
@@ -167,6 +177,17 @@
 	return len(p.idle) > 0
 }
 
+// Retire closes the unused connections and lets the calls in flight end. New calls fail.
+func (p *Pool) Retire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		c.close()
+	}
+	p.idle = nil
+}
+
 // Close closes every connection. Calls in flight fail.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -185,6 +206,7 @@
 func (p *Pool) Dial(ctx context.Context) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout: p.options.Dial,
+		Control: p.options.control,
 		// Finds within about 3 s that the peer's machine was replaced while a connection was idle.
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
 	}
@@ -237,7 +259,7 @@
 // and whether it is not too old. Without this check, a request written to a connection that the
 // peer had closed would have an unknown outcome.
 func (p *Pool) usable(c *conn) bool {
-	return time.Since(c.used) < p.options.Idle && c.quiet()
+	return time.Since(c.used) < c.idle && c.quiet()
 }
 
 // dropUnusable closes idle connections that are of no further use. The caller holds the lock.
--- a/pkg/assign/assign.go
+++ b/pkg/assign/assign.go
@@ -27,6 +27,7 @@
 	"cmp"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -65,6 +66,13 @@
 	FailureDomain string
 	Fencing       Fencing
 	Draining      bool
+	// Slots is the number of requests that the server runs at once, 0 where it is not known.
+	Slots int
+	// WarmUp is how much longer the server stays slow after its start.
+	WarmUp time.Duration
+	// Born is the start of the server's process as Unix time in ms, 0 where it is not known. A server
+	// that started again under its name has another one and holds nothing of before.
+	Born int64
 }
 
 // Span is an inclusive range of key hashes.
--- /dev/null
+++ b/pkg/leader/leader.go
@@ -0,0 +1,304 @@
+// Package leader elects one process through an object in a store with conditional updates.
+//
+// The object is a Record, which the leader rewrites while it leads. A record that stays the same
+// for longer than the lease may be replaced by another process, on the condition that it is still
+// that version. The leader counts its lease from before the write was sent, and the others count
+// from after they first read the version, so that the leader stops before another begins.
+//
+// The Candidate is a state machine: events go in, actions come out, the time is passed in. It
+// knows of the record only who holds it; what else the record has is the caller's.
+//
+// # Usage
+//
+//	candidate := leader.New(leader.Config{Name: "entry-1", Run: run, Lease: 3 * time.Second}, random)
+//	for _, a := range candidate.Step(now, leader.Tick{}) {
+//		switch a := a.(type) {
+//		case leader.Read:
+//			// read the record, then Step with Seen, Missing or Failed
+//		case leader.Write:
+//			// write a Record with a.Sequence if its version is a.IfVersion, then Step with
+//			// Written, Conflict or Failed
+//		}
+//	}
+//	if candidate.Leads(now) {
+//		// act
+//	}
+package leader
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/samphiredrum/samphiredrum/pkg/lease"
+)
+
+const (
+	// readEvery is the time between reads of the record while the leader is not known to be alive.
+	readEvery = 500 * time.Millisecond
+	// aliveFor is how long a sign of life of the leader makes reads needless.
+	aliveFor = 1200 * time.Millisecond
+	// renewals is the number of times that the record is rewritten in a lease.
+	renewals = 3
+	// retryEvery is the time between tries of a write that failed.
+	retryEvery = 250 * time.Millisecond
+	// maxJitter spreads the candidates that would all write at the same moment.
+	maxJitter = 200 * time.Millisecond
+)
+
+// Config configures a Candidate.
+type Config struct {
+	// Name names the VM, and Run this run of its process.
+	Name string
+	Run  string
+	// Lease is how long the leader leads after it sent a write of the record.
+	Lease time.Duration
+}
+
+// Record is what the stored object says about the leader. A Holder of "" means that the last one
+// resigned.
+type Record struct {
+	Term uint64 `json:"term"`
+	// Holder is the name of the VM, Run the run of the process.
+	Holder string `json:"holder"`
+	Run    string `json:"run"`
+	// Sequence is the number of the write, so that a leader recognises a write without an answer.
+	Sequence uint64 `json:"sequence"`
+}
+
+// Event is something that happened.
+type Event interface{ event() }
+
+// Seen is the record as it was read, not from a cache, with the time at which the answer arrived.
+type Seen struct {
+	Record  Record
+	Version uint64
+}
+
+// Missing says that there is no record.
+type Missing struct{}
+
+// Alive says that the leader showed that it leads.
+type Alive struct{}
+
+// Written is the success of a Write.
+type Written struct{ Sequence, Version uint64 }
+
+// Conflict is a Write whose condition did not hold.
+type Conflict struct{}
+
+// Failed is a Read or Write whose effect is not known.
+type Failed struct{ Write bool }
+
+// Resign gives the lead up.
+type Resign struct{}
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Seen) event()     {}
+func (Missing) event()  {}
+func (Alive) event()    {}
+func (Written) event()  {}
+func (Conflict) event() {}
+func (Failed) event()   {}
+func (Resign) event()   {}
+func (Tick) event()     {}
+
+// Action is something to do.
+type Action interface{ action() }
+
+// Read asks to read the record.
+type Read struct{}
+
+// Write asks to write the record, on the condition that it has the version, 0 for no record.
+type Write struct {
+	Record    Record
+	IfVersion uint64
+}
+
+func (Read) action()  {}
+func (Write) action() {}
+
+// Candidate is one process that may lead. It is not safe for concurrent use.
+type Candidate struct {
+	config Config
+	random *rand.Rand
+	// record and version are the last that was read or written, known whether there was an answer.
+	record  Record
+	version uint64
+	known   bool
+	// since is when this version was first read.
+	since time.Time
+	alive time.Time
+	held  lease.Held
+	// leads is set from the first successful write on.
+	leads    bool
+	term     uint64
+	sequence uint64
+	// sent has the times at which the writes without a known end were sent.
+	sent              map[uint64]time.Time
+	reading, writing  bool
+	nextRead, nextTry time.Time
+	resigned          bool
+}
+
+// New returns a Candidate that knows nothing of the record. The random source spreads candidates.
+func New(c Config, random *rand.Rand) *Candidate {
+	return &Candidate{config: c, random: random, sent: map[uint64]time.Time{}}
+}
+
+// Leads reports whether this process leads at now.
+func (c *Candidate) Leads(now time.Time) bool { return c.leads && c.held.Valid(now) }
+
+// Expires returns when the lease ends.
+func (c *Candidate) Expires() time.Time { return c.held.Expires() }
+
+// Term returns the term of the last record.
+func (c *Candidate) Term() uint64 { return c.record.Term }
+
+// Holder returns the name of the VM in the last record, "" where there is none.
+func (c *Candidate) Holder() string { return c.record.Holder }
+
+// Step handles an event and returns what to do.
+func (c *Candidate) Step(now time.Time, e Event) []Action {
+	switch e := e.(type) {
+	case Seen:
+		c.reading = false
+		c.nextRead = now.Add(readEvery)
+		c.see(now, e)
+	case Missing:
+		c.reading = false
+		c.nextRead = now.Add(readEvery)
+		c.record, c.version, c.known = Record{}, 0, true
+		c.leads = false
+	case Alive:
+		c.alive = now
+	case Written:
+		c.writing = false
+		c.wrote(now, e.Sequence, e.Version)
+	case Conflict:
+		c.writing = false
+		c.known = false
+		c.nextRead = now
+		c.alive = time.Time{}
+	case Failed:
+		c.fail(now, e)
+	case Resign:
+		c.resigned = true
+		c.nextTry = now
+	case Tick:
+	}
+	return c.act(now)
+}
+
+func (c *Candidate) see(now time.Time, e Seen) {
+	if e.Record.Run == c.config.Run && c.sent[e.Record.Sequence] != (time.Time{}) {
+		c.wrote(now, e.Record.Sequence, e.Version)
+		return
+	}
+	if !c.known || e.Version != c.version {
+		c.since = now
+	}
+	if e.Record.Run != c.config.Run {
+		c.leads = false
+	}
+	c.record, c.version, c.known = e.Record, e.Version, true
+}
+
+// wrote handles a write that is known to have taken effect.
+func (c *Candidate) wrote(now time.Time, sequence, version uint64) {
+	sent := c.sent[sequence]
+	clear(c.sent)
+	c.record = Record{Term: c.term, Holder: c.config.Name, Run: c.config.Run, Sequence: sequence}
+	c.version, c.known, c.since = version, true, now
+	c.nextTry = sent.Add(c.config.Lease / renewals)
+	if c.resigned {
+		c.record.Holder = ""
+		c.leads = false
+		c.held.Drop()
+		return
+	}
+	c.leads = true
+	c.held.Extend(sent, c.config.Lease)
+}
+
+func (c *Candidate) fail(now time.Time, e Failed) {
+	if e.Write {
+		c.writing = false
+		c.nextTry = now.Add(retryEvery)
+		// The write may have taken effect, so the record is read before the next one.
+		c.known = false
+		c.nextRead = now
+		c.alive = time.Time{}
+		return
+	}
+	c.reading = false
+	c.nextRead = now.Add(retryEvery)
+}
+
+func (c *Candidate) act(now time.Time) []Action {
+	if c.leads && !c.held.Valid(now) {
+		c.leads = false
+		c.known = false
+	}
+	var actions []Action
+	if c.readDue(now) {
+		c.reading = true
+		actions = append(actions, Read{})
+	}
+	if c.known && !c.writing && !now.Before(c.nextTry) && c.mayWrite(now) {
+		actions = append(actions, c.write(now))
+	}
+	return actions
+}
+
+func (c *Candidate) readDue(now time.Time) bool {
+	if c.reading || c.writing || now.Before(c.nextRead) {
+		return false
+	}
+	if c.leads {
+		return !c.known
+	}
+	return !c.known || now.Sub(c.alive) >= aliveFor
+}
+
+// mayWrite reports whether the record may be written: by the leader, or where it has lapsed.
+func (c *Candidate) mayWrite(now time.Time) bool {
+	if c.resigned {
+		return c.leads
+	}
+	if c.leads {
+		return true
+	}
+	if now.Sub(c.alive) < aliveFor {
+		return false
+	}
+	switch c.record.Holder {
+	case "", c.config.Name:
+		// The holder has resigned, or is an earlier run on this VM, which has ended.
+		return true
+	}
+	return now.Sub(c.since) >= lease.DefaultMargin.Stretch(c.config.Lease)
+}
+
+func (c *Candidate) write(now time.Time) Action {
+	c.sequence++
+	if !c.leads {
+		c.term = c.record.Term + 1
+		c.nextTry = now.Add(time.Duration(c.random.Int64N(int64(maxJitter))))
+	}
+	c.writing = true
+	c.sent[c.sequence] = now
+	r := Record{Term: c.term, Holder: c.config.Name, Run: c.config.Run, Sequence: c.sequence}
+	if c.resigned {
+		r.Holder = ""
+	}
+	return Write{Record: r, IfVersion: c.version}
+}
+
+// Hurry makes the leader write at its next Step instead of at the next renewal.
+func (c *Candidate) Hurry(now time.Time) {
+	if c.leads && c.known {
+		c.nextTry = now
+	}
+}
--- /dev/null
+++ b/pkg/shard/decider.go
@@ -0,0 +1,455 @@
+package shard
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/samphiredrum/samphiredrum/pkg/assign"
+	"github.com/samphiredrum/samphiredrum/pkg/lease"
+)
+
+const (
+	// OrderTimeout bounds a grant. A grant without an answer is counted from the end of this time.
+	OrderTimeout = 500 * time.Millisecond
+	// ReleaseTimeout bounds one try of a release, whose answer comes when running work has ended.
+	ReleaseTimeout = 2 * time.Second
+	// planEvery is the time between plans.
+	planEvery = 100 * time.Millisecond
+	// renewals is the number of times that a grant is renewed in its hold.
+	renewals = 3
+	// retryEvery is the time between tries of an order that had no answer.
+	retryEvery = 300 * time.Millisecond
+	// suspectAfter is the number of orders without an answer in a row after which the owner is
+	// replaced.
+	suspectAfter = 3
+	// suspectFor is how long a server that did not answer gets no further keys.
+	suspectFor = 5 * time.Second
+)
+
+// clockMargin is how much longer than asked for a server may hold keys: its clock may run 2% slow,
+// and the slack covers the way of the grant.
+var clockMargin = lease.Margin{Rate: 0.021, Slack: 100 * time.Millisecond}
+
+// Config configures a Decider.
+type Config struct {
+	// Hold is the usual time of a grant.
+	Hold time.Duration
+	// LongestHold is the longest time that any Decider grants keys for. It applies while the store
+	// is away, when nobody could take over.
+	LongestHold time.Duration
+}
+
+// Decider decides who owns the keys of the partitioned services. It is not safe for concurrent use.
+type Decider struct {
+	config   Config
+	services map[assign.ServiceID]*service
+	// writes is the number of the last Write, stored that of the last one that succeeded.
+	writes, stored uint64
+	dirty          bool
+	planned        time.Time
+	away           bool
+	// version rises with each change of what View returns.
+	version uint64
+}
+
+// service is the state of one service.
+type service struct {
+	id      assign.ServiceID
+	next    lease.Fence
+	rows    []*row
+	listed  bool
+	servers map[assign.ServerID]assign.Server
+	// suspects are servers that did not answer orders, with the end of the suspicion.
+	suspects map[assign.ServerID]time.Time
+	use      usage
+	balanced time.Time
+}
+
+// row is a Row with what the Decider knows of its orders.
+type row struct {
+	Row
+	prior []*prior
+	// write is the number of the Write that makes the row durable.
+	write uint64
+	// current is the row in force until then, nil where no owner was in force.
+	current *Row
+	// sending reports that an order to the owner is under way.
+	sending  bool
+	failures int
+	next     time.Time
+	// until is when the owner can no longer hold the keys, given no further grants.
+	until    time.Time
+	handover string
+}
+
+// prior is an earlier owner of a row.
+type prior struct {
+	Holder
+	fence   lease.Fence
+	until   time.Time
+	sending bool
+	next    time.Time
+}
+
+// NewDecider returns a Decider that knows nothing until it gets Began.
+func NewDecider(c Config) *Decider {
+	return &Decider{config: c, services: map[assign.ServiceID]*service{}}
+}
+
+// Version rises with each change of View.
+func (d *Decider) Version() uint64 { return d.version }
+
+// View returns the tables in force, for those who send requests.
+func (d *Decider) View() map[assign.ServiceID]Table {
+	tables := make(map[assign.ServiceID]Table, len(d.services))
+	for id, s := range d.services {
+		t := Table{Next: s.next, Rows: make([]Row, len(s.rows))}
+		for i, r := range s.rows {
+			t.Rows[i] = r.Row
+			if d.staged(r) && r.current != nil {
+				t.Rows[i] = *r.current
+			}
+		}
+		tables[id] = t
+	}
+	return tables
+}
+
+// Tables returns the tables to store, and the number of the Write that they answer.
+func (d *Decider) Tables() (map[assign.ServiceID]Table, uint64) {
+	tables := make(map[assign.ServiceID]Table, len(d.services))
+	for id, s := range d.services {
+		t := Table{Next: s.next, Rows: make([]Row, len(s.rows))}
+		for i, r := range s.rows {
+			t.Rows[i] = r.Row
+			for _, p := range r.prior {
+				t.Rows[i].Prior = append(t.Rows[i].Prior, p.Holder)
+			}
+		}
+		tables[id] = t
+	}
+	return tables, d.writes
+}
+
+// Unstored reports whether a Write was asked for that is not known to be stored.
+func (d *Decider) Unstored() bool { return d.writes > d.stored }
+
+// Step handles an event and returns what to do.
+func (d *Decider) Step(now time.Time, e Event) []Action {
+	switch e := e.(type) {
+	case Began:
+		d.begin(now, e)
+	case Listed:
+		d.list(now, e)
+	case Stored:
+		if e.Write > d.stored {
+			d.stored = e.Write
+			d.version++
+		}
+	case Granted:
+		d.granted(now, e)
+	case Released:
+		d.released(now, e)
+	case Used:
+		if s := d.services[e.Service]; s != nil {
+			s.use.add(now, e.Keys)
+		}
+	case Tick:
+		if e.StoreAway && !d.away {
+			d.renewAll(now)
+		}
+		d.away = e.StoreAway
+	}
+	return d.act(now)
+}
+
+// renewAll makes every renewal due, so that the owners get the longest hold before the lead lapses.
+func (d *Decider) renewAll(now time.Time) {
+	for _, s := range d.services {
+		for _, r := range s.rows {
+			r.next = now
+		}
+	}
+}
+
+func (d *Decider) begin(now time.Time, e Began) {
+	d.services = map[assign.ServiceID]*service{}
+	d.dirty = false
+	d.stored = d.writes
+	d.planned = time.Time{}
+	longest := now.Add(clockMargin.Stretch(d.config.LongestHold))
+	for id, t := range e.Tables {
+		s := d.service(id)
+		s.next = t.Next
+		for _, r := range t.Rows {
+			x := &row{Row: r, until: longest, write: d.stored}
+			x.Prior = nil
+			for _, h := range r.Prior {
+				x.prior = append(x.prior, &prior{Holder: h, until: longest})
+			}
+			s.rows = append(s.rows, x)
+		}
+	}
+	d.version++
+}
+
+func (d *Decider) service(id assign.ServiceID) *service {
+	s := d.services[id]
+	if s == nil {
+		s = &service{id: id, next: 1, suspects: map[assign.ServerID]time.Time{}}
+		d.services[id] = s
+	}
+	return s
+}
+
+func (d *Decider) list(now time.Time, e Listed) {
+	for _, s := range d.services {
+		s.listed = false
+	}
+	for id, servers := range e.Services {
+		s := d.service(id)
+		s.listed = true
+		s.servers = make(map[assign.ServerID]assign.Server, len(servers))
+		for _, a := range servers {
+			s.servers[a.ID] = a
+		}
+		for _, r := range s.rows {
+			s.forget(now, r)
+		}
+	}
+}
+
+// forget drops holders that the list proves to have ended: the server has started again.
+func (s *service) forget(now time.Time, r *row) {
+	r.prior = slices.DeleteFunc(r.prior, func(p *prior) bool { return s.ended(p.Holder) })
+	if s.ended(r.Owner) {
+		r.until = now
+	}
+}
+
+func (s *service) ended(h Holder) bool {
+	a, ok := s.servers[h.Server]
+	return ok && a.Born != h.Born
+}
+
+// usable reports whether the holder may own keys.
+func (s *service) usable(now time.Time, h Holder) bool {
+	a, ok := s.servers[h.Server]
+	return ok && !a.Draining && a.Born == h.Born && !now.Before(s.suspects[h.Server])
+}
+
+// staged reports whether the row is not stored yet.
+func (d *Decider) staged(r *row) bool { return r.write > d.stored }
+
+func (d *Decider) granted(now time.Time, e Granted) {
+	s := d.services[e.Grant.Service]
+	if s == nil {
+		return
+	}
+	r := s.find(e.Grant.Range)
+	if r == nil {
+		return
+	}
+	if r.Fence != e.Grant.Fence || !r.Owner.same(e.Grant.Owner) {
+		s.kept(now, r, e)
+		return
+	}
+	r.sending = false
+	switch e.Outcome {
+	case Done:
+		r.failures = 0
+		r.next = now.Add(d.config.Hold / renewals)
+		r.until = now.Add(clockMargin.Stretch(e.Grant.Hold))
+		r.handover = ""
+		if !r.Open {
+			r.Open = true
+			d.version++
+		}
+	case Fenced:
+		// Another decider has moved the keys since, or the server has seen a later release.
+		r.Fence = s.take()
+		r.Open = false
+		r.next = now
+		r.current = nil
+		d.stage(r)
+	case Ended:
+		r.until = now
+		s.suspects[r.Owner.Server] = now.Add(suspectFor)
+	case Lost:
+		r.failures++
+		r.next = now.Add(retryEvery)
+		s.suspect(now, r)
+	}
+}
+
+// kept handles the renewal of an owner whose successor is not stored yet.
+func (s *service) kept(now time.Time, r *row, e Granted) {
+	for _, p := range r.prior {
+		if p.fence != e.Grant.Fence || !p.same(e.Grant.Owner) {
+			continue
+		}
+		p.sending = false
+		p.next = now.Add(e.Grant.Hold / renewals)
+		if e.Outcome == Done {
+			p.until = now.Add(clockMargin.Stretch(e.Grant.Hold))
+		}
+	}
+}
+
+func (s *service) suspect(now time.Time, r *row) {
+	if r.failures >= suspectAfter {
+		s.suspects[r.Owner.Server] = now.Add(suspectFor)
+	}
+}
+
+func (d *Decider) released(now time.Time, e Released) {
+	s := d.services[e.Release.Service]
+	if s == nil {
+		return
+	}
+	r := s.find(e.Release.Range)
+	if r == nil || r.Fence != e.Release.Fence {
+		return
+	}
+	i := slices.IndexFunc(r.prior, func(p *prior) bool { return p.same(e.Release.Holder) })
+	if i < 0 {
+		return
+	}
+	p := r.prior[i]
+	p.sending = false
+	if e.Outcome == Lost || e.Outcome == Fenced {
+		p.next = now.Add(retryEvery)
+		return
+	}
+	r.prior = slices.Delete(r.prior, i, i+1)
+	if e.Handover != "" {
+		r.handover = e.Handover
+	}
+}
+
+// stage records a change of a row that must be stored before it is acted on.
+func (d *Decider) stage(r *row) {
+	r.write = d.writes + 1
+	d.dirty = true
+	d.version++
+}
+
+func (s *service) take() lease.Fence {
+	f := s.next
+	s.next++
+	return f
+}
+
+func (s *service) find(k Range) *row {
+	i, ok := slices.BinarySearchFunc(s.rows, k.First, func(r *row, first uint16) int { return cmp.Compare(r.First, first) })
+	if !ok || s.rows[i].Range != k {
+		return nil
+	}
+	return s.rows[i]
+}
+
+// act plans moves and returns the orders that are due.
+func (d *Decider) act(now time.Time) []Action {
+	var actions []Action
+	plans := !d.away && now.Sub(d.planned) >= planEvery
+	if plans {
+		d.planned = now
+	}
+	for _, id := range slices.Sorted(maps.Keys(d.services)) {
+		s := d.services[id]
+		if !s.listed {
+			continue
+		}
+		if plans {
+			d.plan(now, s)
+		}
+		for _, r := range s.rows {
+			actions = append(actions, d.order(now, s, r)...)
+		}
+	}
+	if d.dirty {
+		d.dirty = false
+		d.writes++
+		actions = append(actions, Write{Number: d.writes})
+	}
+	return actions
+}
+
+// order returns the orders of a row that are due.
+func (d *Decider) order(now time.Time, s *service, r *row) []Action {
+	if d.staged(r) {
+		return d.keep(now, s, r)
+	}
+	r.current = nil
+	r.prior = slices.DeleteFunc(r.prior, func(p *prior) bool { return !now.Before(p.until) })
+	if len(r.prior) > 0 {
+		return recall(now, s, r)
+	}
+	if r.sending || now.Before(r.next) || !s.usable(now, r.Owner) {
+		return nil
+	}
+	hold := d.hold(now, r)
+	if hold <= 0 {
+		return nil
+	}
+	r.sending = true
+	r.until = later(r.until, now.Add(OrderTimeout+clockMargin.Stretch(hold)))
+	return []Action{Grant{
+		Service: s.id, Range: r.Range, Owner: r.Owner, Fence: r.Fence, Hold: hold, Handover: r.handover,
+	}}
+}
+
+// hold returns for how long to grant a row. After a grant without an answer the next one ends no
+// later, so that the owner can be replaced when the first one has lapsed.
+func (d *Decider) hold(now time.Time, r *row) time.Duration {
+	if r.Open && r.failures > 0 {
+		left := r.until.Sub(now) - OrderTimeout - clockMargin.Slack
+		return time.Duration(float64(left) / (1 + clockMargin.Rate))
+	}
+	if d.away {
+		return d.config.LongestHold
+	}
+	return d.config.Hold
+}
+
+// keep renews the present owner while its successor is not stored, which takes long where the
+// store is slow.
+func (d *Decider) keep(now time.Time, s *service, r *row) []Action {
+	if r.current == nil || !r.current.Open || !s.usable(now, r.current.Owner) {
+		return nil
+	}
+	for _, p := range r.prior {
+		if !p.same(r.current.Owner) || p.sending || now.Before(p.next) {
+			continue
+		}
+		p.sending = true
+		hold := d.hold(now, r)
+		p.until = later(p.until, now.Add(OrderTimeout+clockMargin.Stretch(hold)))
+		return []Action{Grant{
+			Service: s.id, Range: r.Range, Owner: p.Holder, Fence: r.current.Fence, Hold: hold,
+		}}
+	}
+	return nil
+}
+
+// recall returns the releases of a row that are due.
+func recall(now time.Time, s *service, r *row) []Action {
+	var actions []Action
+	for _, p := range r.prior {
+		if p.sending || now.Before(p.next) {
+			continue
+		}
+		p.sending = true
+		actions = append(actions, Release{Service: s.id, Range: r.Range, Holder: p.Holder, Fence: r.Fence})
+	}
+	return actions
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/pkg/shard/plan.go
@@ -0,0 +1,239 @@
+package shard
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/samphiredrum/samphiredrum/pkg/assign"
+)
+
+const (
+	// balanceEvery is the time between moves that only balance the load.
+	balanceEvery = 500 * time.Millisecond
+	// imbalance is how far the busiest server is above the mean before keys move.
+	imbalance = 1.3
+	// leastExcess is the load in requests a second above the mean below which no keys move.
+	leastExcess = 4.0
+	// evacuationParts is the number of parts that a row of a leaving server is moved in. Each part
+	// waits only for the work on its own keys.
+	evacuationParts = 4
+	// rowsPerServer bounds the rows of a service, each of which is renewed on its own.
+	rowsPerServer = 8
+)
+
+// candidate is a server that may get keys.
+type candidate struct {
+	Holder
+	slots float64
+	load  float64
+	rows  int
+	cold  bool
+}
+
+// share is the load for each slot.
+func (c *candidate) share() float64 { return c.load / c.slots }
+
+// plan changes the rows: first owners for keys without one, then moves from owners that cannot be
+// used, then moves that balance the load.
+func (d *Decider) plan(now time.Time, s *service) {
+	candidates := s.candidates(now)
+	if len(candidates) == 0 {
+		return
+	}
+	if len(s.rows) == 0 {
+		d.initial(s, candidates)
+		return
+	}
+	loads := s.use.prefix(now)
+	s.loadOf(candidates, loads)
+	d.evacuate(now, s, candidates, loads)
+	if now.Sub(s.balanced) >= balanceEvery {
+		s.balanced = now
+		d.balance(now, s, candidates, loads)
+	}
+}
+
+// candidates returns the usable servers in order of their names.
+func (s *service) candidates(now time.Time) []*candidate {
+	var list []*candidate
+	for _, id := range slices.Sorted(maps.Keys(s.servers)) {
+		a := s.servers[id]
+		if h := HolderOf(a); s.usable(now, h) {
+			list = append(list, &candidate{Holder: h, slots: float64(max(1, a.Slots)), cold: a.WarmUp > 0})
+		}
+	}
+	return list
+}
+
+// initial gives every server an equal range of the keys for each of its slots.
+func (d *Decider) initial(s *service, candidates []*candidate) {
+	total := 0.0
+	for _, c := range candidates {
+		total += c.slots
+	}
+	first, sum := 0, 0.0
+	for i, c := range candidates {
+		sum += c.slots
+		last := int(sum / total * (LastKey + 1))
+		if i == len(candidates)-1 {
+			last = LastKey + 1
+		}
+		if last <= first {
+			continue
+		}
+		r := &row{Row: Row{
+			Range: Range{First: uint16(first), Last: uint16(last - 1)}, Owner: c.Holder, Fence: s.take(),
+		}}
+		s.rows = append(s.rows, r)
+		d.stage(r)
+		first = last
+	}
+}
+
+func (s *service) loadOf(candidates []*candidate, loads prefix) {
+	byServer := map[assign.ServerID]*candidate{}
+	for _, c := range candidates {
+		byServer[c.Server] = c
+	}
+	for _, r := range s.rows {
+		if c := byServer[r.Owner.Server]; c != nil {
+			c.load += loads.of(r.Range)
+			c.rows++
+		}
+	}
+}
+
+// evacuate moves the rows whose owner cannot be used.
+func (d *Decider) evacuate(now time.Time, s *service, candidates []*candidate, loads prefix) {
+	for _, r := range slices.Clone(s.rows) {
+		if s.usable(now, r.Owner) {
+			continue
+		}
+		parts := evacuationParts
+		if len(s.rows) >= rowsPerServer*len(candidates) {
+			parts = 1
+		}
+		for _, k := range loads.split(r.Range, parts) {
+			to := least(candidates)
+			d.move(now, s, k, to.Holder)
+			to.load += loads.of(k) + 0.01
+			to.rows++
+		}
+	}
+}
+
+// least returns the candidate with the lowest load for each slot, warm ones first where that is
+// equal.
+func least(candidates []*candidate) *candidate {
+	return slices.MinFunc(candidates, func(a, b *candidate) int {
+		return cmp.Or(cmp.Compare(a.share(), b.share()), cmp.Compare(a.rows, b.rows))
+	})
+}
+
+// balance moves keys from the busiest server to the least busy one, or to one without keys.
+func (d *Decider) balance(now time.Time, s *service, candidates []*candidate, loads prefix) {
+	if len(candidates) < 2 || len(s.rows) >= rowsPerServer*len(candidates) || s.moving() {
+		return
+	}
+	sum, slots := 0.0, 0.0
+	for _, c := range candidates {
+		sum += c.load
+		slots += c.slots
+	}
+	mean := sum / slots
+	to := least(candidates)
+	from := slices.MaxFunc(candidates, func(a, b *candidate) int { return cmp.Compare(a.share(), b.share()) })
+	excess := (from.share() - mean) * from.slots
+	room := (mean - to.share()) * to.slots
+	if to.rows > 0 && (from.share() < imbalance*mean || excess < leastExcess) {
+		return
+	}
+	if r, ok := s.portion(from, loads, min(excess, room)); ok {
+		d.move(now, s, r, to.Holder)
+	}
+}
+
+// moving reports whether a row is being moved.
+func (s *service) moving() bool {
+	return slices.ContainsFunc(s.rows, func(r *row) bool { return len(r.prior) > 0 })
+}
+
+// portion returns a part of a row of the server whose load comes closest to the wanted one.
+func (s *service) portion(from *candidate, loads prefix, wanted float64) (Range, bool) {
+	var best Range
+	found, distance := false, 0.0
+	for _, r := range s.rows {
+		if !r.Owner.same(from.Holder) || !r.Open {
+			continue
+		}
+		k := loads.closest(r.Range, wanted)
+		if off := abs(loads.of(k) - wanted); !found || off < distance {
+			best, found, distance = k, true, off
+		}
+	}
+	// A part that carries less than half of what should move, or nearly all of the server's load,
+	// would move the same keys to and fro.
+	load := loads.of(best)
+	return best, found && load < from.load*0.9 && (load >= wanted/2 || from.load == 0)
+}
+
+func abs(f float64) float64 { return max(f, -f) }
+
+// move gives the keys of the range, which lie in one row, to another server.
+func (d *Decider) move(now time.Time, s *service, k Range, to Holder) {
+	i := slices.IndexFunc(s.rows, func(r *row) bool { return r.Contains(k.First) })
+	old := s.rows[i]
+	moved := &row{Row: Row{Range: k, Owner: to, Fence: s.take()}}
+	for _, p := range old.prior {
+		moved.prior = append(moved.prior, &prior{Holder: p.Holder, fence: p.fence, until: p.until})
+	}
+	if now.Before(old.until) {
+		moved.prior = append(moved.prior, &prior{Holder: old.Owner, fence: old.Fence, until: old.until, next: old.next})
+	}
+	if current := old.inForce(); current != nil {
+		current.Range = k
+		moved.current = current
+	}
+	next := []*row{moved}
+	if old.First < k.First {
+		next = append([]*row{old.part(Range{First: old.First, Last: k.First - 1})}, next...)
+	}
+	if k.Last < old.Last {
+		next = append(next, old.part(Range{First: k.Last + 1, Last: old.Last}))
+	}
+	s.rows = slices.Replace(s.rows, i, i+1, next...)
+	d.stage(moved)
+}
+
+// inForce returns a copy of the row that requests follow at present, nil where there is none.
+func (r *row) inForce() *Row {
+	var c Row
+	switch {
+	case r.Open:
+		c = r.Row
+	case r.current != nil:
+		c = *r.current
+	default:
+		return nil
+	}
+	return &c
+}
+
+// part returns the row for a part of its keys.
+func (r *row) part(k Range) *row {
+	c := *r
+	c.Range = k
+	c.sending = false
+	c.prior = nil
+	for _, p := range r.prior {
+		c.prior = append(c.prior, &prior{Holder: p.Holder, fence: p.fence, until: p.until})
+	}
+	if r.current != nil {
+		current := *r.current
+		current.Range = k
+		c.current = &current
+	}
+	return &c
+}
