shard, steer: Balance keys by load and pace, and send followers only what changed

Cause: the busy keys lie close together, so one range a server put them on a few; the leader sent whole tables at each change, a third of the bytes between failure domains.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -119,6 +119,7 @@
 		RetryShare:    s.Bounds.RetryShare,
 		RetryBurst:    s.Bounds.RetryBurst,
 		Use:           p.control.Use,
+		Ran:           p.control.Ran,
 		Clock:         c,
 		Log:           logs.Sampled(log),
 		Meter:         relay.NewMeter(registry),
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -197,7 +197,11 @@
 			}
 			continue
 		}
+		started := time.Now()
 		verdict, err := x.send(ctx, b)
+		if err == nil && !verdict.NotRun {
+			x.relay.options.Ran(x.service.id, b.server.ID, time.Since(started))
+		}
 		if x.settled(ctx, verdict, err) {
 			return
 		}
@@ -384,4 +388,3 @@
 	}
 	return x.relay.options.Log.Warn()
 }
-
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -89,7 +89,9 @@
 	RetryShare float64
 	RetryBurst int
 	// Use is told the key of each request to a partitioned service.
-	Use   func(service assign.ServiceID, key uint16)
+	Use func(service assign.ServiceID, key uint16)
+	// Ran is told the time of each request that the owner of its key ran.
+	Ran   func(service assign.ServiceID, server assign.ServerID, took time.Duration)
 	Clock clock.Clock
 	Log   zerolog.Logger
 	Meter *Meter
--- a/internal/steer/control.go
+++ b/internal/steer/control.go
@@ -59,12 +59,15 @@
 	processes int
 	parked    []asked
 	followers map[netip.AddrPort]time.Time
+	changes   *changes
 	stopping  bool
 }
 
 // configState is what is known of the configuration.
 type configState struct {
-	object   store.Object
+	object store.Object
+	// packed is the object's value as it is sent to followers.
+	packed   []byte
 	parsed   *route.Config
 	revision uint64
 	// confirmed is a time at which it was the latest one.
@@ -92,6 +95,7 @@
 		run:       hex.EncodeToString([]byte{byte(run), byte(run >> 8), byte(run >> 16), byte(run >> 24), byte(run >> 32), byte(run >> 40)}),
 		list:      listState{directory: disco.New()},
 		tally:     newTally(),
+		changes:   newChanges(),
 		followers: map[netip.AddrPort]time.Time{},
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -113,7 +117,12 @@
 }
 
 // Use counts the key of a request, for the balance of keys over servers.
-func (c *Control) Use(service assign.ServiceID, key uint16) { c.tally.add(service, key) }
+func (c *Control) Use(service assign.ServiceID, key uint16) { c.tally.use(service, key) }
+
+// Ran counts the time of a request that the owner of its key ran.
+func (c *Control) Ran(service assign.ServiceID, server assign.ServerID, took time.Duration) {
+	c.tally.ran(service, server, took)
+}
 
 // Stop resigns the lead, waits a bounded time for the resignation, and ends all goroutines but
 // those of followers' connections.
@@ -183,9 +192,7 @@
 func (c *Control) tick(now time.Time) {
 	c.advance(now, leader.Tick{})
 	if c.leads {
-		for service, keys := range c.tally.take() {
-			c.decide(now, shard.Used{Service: service, Keys: keys})
-		}
+		c.weigh(now, c.tally.take())
 		c.decide(now, shard.Tick{StoreAway: age(now, c.spoke) > awayAfter})
 		c.answerParked(now)
 	}
@@ -257,7 +264,7 @@
 	if c.config.parsed != nil && parsed.Version <= c.config.parsed.Version {
 		return
 	}
-	c.config.object, c.config.parsed = o, parsed
+	c.config.object, c.config.parsed, c.config.packed = o, parsed, pack(o.Value)
 	c.have.Config++
 	c.options.Log.Info().Uint64("version", parsed.Version).Uint64("revision", o.Version).Msg("config-in-force")
 	c.relist(now)
@@ -284,6 +291,7 @@
 	c.list.confirmed = e.sent
 	if c.list.directory.Update(now, servers) {
 		c.have.Servers++
+		c.changes.update(c.list.directory.Servers(), c.have.Servers)
 		c.options.Log.Info().Int("servers", len(servers)).Msg("servers-changed")
 		c.relist(now)
 	}
--- a/internal/steer/lead.go
+++ b/internal/steer/lead.go
@@ -1,10 +1,12 @@
 package steer
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
 	"github.com/samphiredrum/samphiredrum/internal/store"
+	"github.com/samphiredrum/samphiredrum/pkg/assign"
 	"github.com/samphiredrum/samphiredrum/pkg/leader"
 	"github.com/samphiredrum/samphiredrum/pkg/shard"
 )
@@ -42,6 +44,8 @@
 	c.options.Log.Info().Uint64("term", c.candidate.Term()).Msg("lead-taken")
 	c.have.Run = c.run
 	c.processes = 1
+	c.changes = newChanges()
+	c.changes.update(c.list.directory.Servers(), c.have.Servers)
 	c.target(netip.AddrPort{})
 	c.decide(now, shard.Began{Tables: c.record.Services})
 	c.relist(now)
@@ -154,14 +158,22 @@
 func (c *Control) asked(now time.Time, a asked) {
 	if c.leads {
 		c.followers[a.ask.From] = now
-		for service, keys := range a.ask.Used {
-			c.decide(now, shard.Used{Service: service, Keys: keys})
-		}
+		c.weigh(now, a.ask.Load)
 	}
 	c.parked = append(c.parked, a)
 	c.answerParked(now)
 }
 
+// weigh tells the decider what a process saw of the requests.
+func (c *Control) weigh(now time.Time, l Load) {
+	for service, keys := range l.Keys {
+		c.decide(now, shard.Used{Service: service, Keys: keys})
+	}
+	for service, work := range l.Work {
+		c.decide(now, shard.Ran{Service: service, Work: work})
+	}
+}
+
 // answerParked answers the calls that have waited long enough or lack something.
 func (c *Control) answerParked(now time.Time) {
 	kept := c.parked[:0]
@@ -196,23 +208,24 @@
 		ServersAge: age(now, c.list.confirmed),
 	}
 	have := q.ask.Have
-	other := have.Run != c.published.Run
-	if other || have.Config != c.published.Config {
-		a.Config = c.config.object.Value
-		a.ConfigRevision = c.config.object.Version
+	a.Whole = have.Run != c.published.Run
+	if a.Whole {
+		have = Versions{}
 	}
-	if other || have.Servers != c.published.Servers {
-		a.HasServers, a.Servers = c.list.directory.Known(), c.list.directory.Servers()
+	if have.Config != c.published.Config {
+		a.Config, a.ConfigRevision = c.config.packed, c.config.object.Version
 	}
-	if other || have.Tables != c.published.Tables {
-		a.HasTables, a.Tables = true, c.tables
+	a.Listed = c.list.directory.Known()
+	a.Servers, a.Removed = c.changes.since(have.Servers)
+	if have.Tables != c.published.Tables {
+		a.Rows = c.decider.Since(have.Tables)
 	}
 	return a
 }
 
 // ask returns the call of this process to the leader. It is called by the follower's goroutine.
 func (c *Control) ask() Ask {
-	return Ask{From: c.options.Address, Have: *c.known.Load(), Used: c.tally.take()}
+	return Ask{From: c.options.Address, Have: *c.known.Load(), Load: c.tally.take()}
 }
 
 // followed handles the leader's answer.
@@ -229,17 +242,13 @@
 		c.config.confirmed = confirmed
 	}
 	if a.Config != nil {
-		c.useConfig(now, store.Object{Name: c.options.Formats.ConfigObject, Version: a.ConfigRevision, Value: a.Config})
+		c.unpackConfig(now, a)
 	}
 	if confirmed := e.sent.Add(a.Parked - a.ServersAge); !c.list.confirmed.After(confirmed) {
 		c.list.confirmed = confirmed
-		if a.HasServers && c.list.directory.Replace(a.Servers) {
-			c.options.Log.Info().Int("servers", len(a.Servers)).Msg("servers-changed")
-		}
-	}
-	if a.HasTables {
-		c.tables = a.Tables
 	}
+	c.followServers(a)
+	c.followTables(a)
 	if a.Processes != c.processes {
 		c.processes = a.Processes
 		c.published = Versions{}
@@ -247,3 +256,39 @@
 	c.have = a.Have
 	c.known.Store(&a.Have)
 }
+
+func (c *Control) unpackConfig(now time.Time, a Answer) {
+	text, err := unpack(a.Config)
+	if err != nil {
+		c.options.Log.Error().Err(err).Msg("config-unreadable")
+		return
+	}
+	c.useConfig(now, store.Object{Name: c.options.Formats.ConfigObject, Version: a.ConfigRevision, Value: text})
+}
+
+func (c *Control) followServers(a Answer) {
+	if !a.Listed || !a.Whole && len(a.Servers) == 0 && len(a.Removed) == 0 {
+		return
+	}
+	var before []assign.Server
+	if !a.Whole {
+		before = c.list.directory.Servers()
+	}
+	if c.list.directory.Replace(apply(before, a.Servers, a.Removed)) {
+		c.options.Log.Info().Int("servers", len(c.list.directory.Servers())).Msg("servers-changed")
+	}
+}
+
+func (c *Control) followTables(a Answer) {
+	if !a.Whole && len(a.Rows) == 0 {
+		return
+	}
+	tables := map[assign.ServiceID]shard.Table{}
+	if !a.Whole {
+		maps.Copy(tables, c.tables)
+	}
+	for id, rows := range a.Rows {
+		tables[id] = tables[id].Overlay(rows)
+	}
+	c.tables = tables
+}
--- a/internal/steer/talk.go
+++ b/internal/steer/talk.go
@@ -38,8 +38,8 @@
 	// From is the follower's address for messages between processes.
 	From netip.AddrPort
 	Have Versions
-	// Used are the keys of requests since the last call, by service.
-	Used map[assign.ServiceID][]uint16
+	// Load is what the follower saw since its last call.
+	Load Load
 }
 
 // Answer is the leader's answer. Parts that the follower has are left out.
@@ -53,13 +53,15 @@
 	ServersAge time.Duration
 	// Parked is how long the leader kept the call before it answered.
 	Parked time.Duration
-	Config []byte
-	// ConfigRevision is the store's revision of Config.
+	// Config is the compressed configuration with ConfigRevision, its revision in the store.
+	Config         []byte
 	ConfigRevision uint64
-	HasServers     bool
-	Servers        []assign.Server
-	HasTables      bool
-	Tables         map[assign.ServiceID]shard.Table
+	// Whole reports that the servers and rows are all there are, not only those that changed.
+	Whole   bool
+	Listed  bool
+	Servers []assign.Server
+	Removed []assign.ServerID
+	Rows    map[assign.ServiceID][]shard.Row
 }
 
 // host answers the calls of followers.
--- a/pkg/shard/decider.go
+++ b/pkg/shard/decider.go
@@ -64,7 +64,10 @@
 	// suspects are servers that did not answer orders, with the end of the suspicion.
 	suspects map[assign.ServerID]time.Time
 	use      usage
+	pace     pace
 	balanced time.Time
+	// settled is since when the set of listed servers is the same.
+	settled time.Time
 }
 
 // row is a Row with what the Decider knows of its orders.
@@ -75,6 +78,8 @@
 	write uint64
 	// current is the row in force until then, nil where no owner was in force.
 	current *Row
+	// version is that of the Decider at the last change of what View returns for the row.
+	version uint64
 	// sending reports that an order to the owner is under way.
 	sending  bool
 	failures int
@@ -104,17 +109,34 @@
 // View returns the tables in force, for those who send requests.
 func (d *Decider) View() map[assign.ServiceID]Table {
 	tables := make(map[assign.ServiceID]Table, len(d.services))
+	for id, rows := range d.Since(0) {
+		tables[id] = Table{Rows: rows}
+	}
+	return tables
+}
+
+// Since returns the rows in force that changed after a version, in order of their keys.
+func (d *Decider) Since(version uint64) map[assign.ServiceID][]Row {
+	changed := map[assign.ServiceID][]Row{}
 	for id, s := range d.services {
-		t := Table{Next: s.next, Rows: make([]Row, len(s.rows))}
-		for i, r := range s.rows {
-			t.Rows[i] = r.Row
+		for _, r := range s.rows {
+			if r.version <= version && version > 0 {
+				continue
+			}
+			shown := r.Row
 			if d.staged(r) && r.current != nil {
-				t.Rows[i] = *r.current
+				shown = *r.current
 			}
+			changed[id] = append(changed[id], shown)
 		}
-		tables[id] = t
 	}
-	return tables
+	return changed
+}
+
+// touch records a change of what View returns for a row.
+func (d *Decider) touch(r *row) {
+	d.version++
+	r.version = d.version
 }
 
 // Tables returns the tables to store, and the number of the Write that they answer.
@@ -144,10 +166,7 @@
 	case Listed:
 		d.list(now, e)
 	case Stored:
-		if e.Write > d.stored {
-			d.stored = e.Write
-			d.version++
-		}
+		d.store(e.Write)
 	case Granted:
 		d.granted(now, e)
 	case Released:
@@ -156,6 +175,10 @@
 		if s := d.services[e.Service]; s != nil {
 			s.use.add(now, e.Keys)
 		}
+	case Ran:
+		if s := d.services[e.Service]; s != nil {
+			s.pace.add(e.Work)
+		}
 	case Tick:
 		if e.StoreAway && !d.away {
 			d.renewAll(now)
@@ -165,6 +188,19 @@
 	return d.act(now)
 }
 
+// store puts the rows in force whose write is known to be stored.
+func (d *Decider) store(write uint64) {
+	before := d.stored
+	d.stored = max(d.stored, write)
+	for _, s := range d.services {
+		for _, r := range s.rows {
+			if before < r.write && r.write <= d.stored {
+				d.touch(r)
+			}
+		}
+	}
+}
+
 // renewAll makes every renewal due, so that the owners get the longest hold before the lead lapses.
 func (d *Decider) renewAll(now time.Time) {
 	for _, s := range d.services {
@@ -189,10 +225,10 @@
 			for _, h := range r.Prior {
 				x.prior = append(x.prior, &prior{Holder: h, until: longest})
 			}
+			d.touch(x)
 			s.rows = append(s.rows, x)
 		}
 	}
-	d.version++
 }
 
 func (d *Decider) service(id assign.ServiceID) *service {
@@ -211,6 +247,9 @@
 	for id, servers := range e.Services {
 		s := d.service(id)
 		s.listed = true
+		if len(s.servers) != len(servers) {
+			s.settled = now
+		}
 		s.servers = make(map[assign.ServerID]assign.Server, len(servers))
 		for _, a := range servers {
 			s.servers[a.ID] = a
@@ -265,7 +304,7 @@
 		r.handover = ""
 		if !r.Open {
 			r.Open = true
-			d.version++
+			d.touch(r)
 		}
 	case Fenced:
 		// Another decider has moved the keys since, or the server has seen a later release.
@@ -333,7 +372,7 @@
 func (d *Decider) stage(r *row) {
 	r.write = d.writes + 1
 	d.dirty = true
-	d.version++
+	d.touch(r)
 }
 
 func (s *service) take() lease.Fence {
--- a/pkg/shard/events.go
+++ b/pkg/shard/events.go
@@ -42,6 +42,18 @@
 	Keys    []uint16
 }
 
+// Work is the requests that a server ran, with the time that they took in all.
+type Work struct {
+	Requests int
+	Time     time.Duration
+}
+
+// Ran is the work of the servers of a service, as the entry processes saw it.
+type Ran struct {
+	Service assign.ServiceID
+	Work    map[assign.ServerID]Work
+}
+
 // Tick lets time pass. The store's health decides for how long keys are granted.
 type Tick struct {
 	// StoreAway reports that the store does not answer at present.
@@ -54,6 +66,7 @@
 func (Granted) event()  {}
 func (Released) event() {}
 func (Used) event()     {}
+func (Ran) event()      {}
 func (Tick) event()     {}
 
 //go:generate enumer -type=Outcome -transform=kebab -output=outcome_enumer.go
--- a/pkg/shard/plan.go
+++ b/pkg/shard/plan.go
@@ -16,6 +16,13 @@
 	imbalance = 1.3
 	// leastExcess is the load in requests a second above the mean below which no keys move.
 	leastExcess = 4.0
+	// maxMoves bounds the moves of one balancing.
+	maxMoves = 4
+	// settleTime is how long the list of servers must be the same before keys get their first owners.
+	settleTime = 1500 * time.Millisecond
+	// firstParts is the number of ranges that each server gets at first. Busy keys are close to one
+	// another, so one range a server would put them all on a few servers.
+	firstParts = 4
 	// evacuationParts is the number of parts that a row of a leaving server is moved in. Each part
 	// waits only for the work on its own keys.
 	evacuationParts = 4
@@ -26,14 +33,15 @@
 // candidate is a server that may get keys.
 type candidate struct {
 	Holder
-	slots float64
-	load  float64
-	rows  int
-	cold  bool
+	// power is how many requests it can run compared with others: its slots over its pace.
+	power float64
+	// load is the requests a second for its keys.
+	load float64
+	rows int
 }
 
-// share is the load for each slot.
-func (c *candidate) share() float64 { return c.load / c.slots }
+// share is the load for the server's power.
+func (c *candidate) share() float64 { return c.load / c.power }
 
 // plan changes the rows: first owners for keys without one, then moves from owners that cannot be
 // used, then moves that balance the load.
@@ -43,7 +51,9 @@
 		return
 	}
 	if len(s.rows) == 0 {
-		d.initial(s, candidates)
+		if now.Sub(s.settled) >= settleTime {
+			d.initial(s, candidates)
+		}
 		return
 	}
 	loads := s.use.prefix(now)
@@ -61,23 +71,24 @@
 	for _, id := range slices.Sorted(maps.Keys(s.servers)) {
 		a := s.servers[id]
 		if h := HolderOf(a); s.usable(now, h) {
-			list = append(list, &candidate{Holder: h, slots: float64(max(1, a.Slots)), cold: a.WarmUp > 0})
+			list = append(list, &candidate{Holder: h, power: float64(max(1, a.Slots)) / s.pace.of(id)})
 		}
 	}
 	return list
 }
 
-// initial gives every server an equal range of the keys for each of its slots.
+// initial gives every server firstParts ranges of the keys, as wide as its power.
 func (d *Decider) initial(s *service, candidates []*candidate) {
 	total := 0.0
 	for _, c := range candidates {
-		total += c.slots
+		total += c.power * firstParts
 	}
 	first, sum := 0, 0.0
-	for i, c := range candidates {
-		sum += c.slots
+	for i := range firstParts * len(candidates) {
+		c := candidates[i%len(candidates)]
+		sum += c.power
 		last := int(sum / total * (LastKey + 1))
-		if i == len(candidates)-1 {
+		if i == firstParts*len(candidates)-1 {
 			last = LastKey + 1
 		}
 		if last <= first {
@@ -134,32 +145,38 @@
 
 // balance moves keys from the busiest server to the least busy one, or to one without keys.
 func (d *Decider) balance(now time.Time, s *service, candidates []*candidate, loads prefix) {
-	if len(candidates) < 2 || len(s.rows) >= rowsPerServer*len(candidates) || s.moving() {
+	if len(candidates) < 2 {
 		return
 	}
-	sum, slots := 0.0, 0.0
+	sum, power := 0.0, 0.0
 	for _, c := range candidates {
 		sum += c.load
-		slots += c.slots
-	}
-	mean := sum / slots
-	to := least(candidates)
-	from := slices.MaxFunc(candidates, func(a, b *candidate) int { return cmp.Compare(a.share(), b.share()) })
-	excess := (from.share() - mean) * from.slots
-	room := (mean - to.share()) * to.slots
-	if to.rows > 0 && (from.share() < imbalance*mean || excess < leastExcess) {
-		return
+		power += c.power
 	}
-	if r, ok := s.portion(from, loads, min(excess, room)); ok {
+	mean := sum / power
+	for range maxMoves {
+		if len(s.rows) >= rowsPerServer*len(candidates) {
+			return
+		}
+		to := least(candidates)
+		from := slices.MaxFunc(candidates, func(a, b *candidate) int { return cmp.Compare(a.share(), b.share()) })
+		excess := (from.share() - mean) * from.power
+		room := (mean - to.share()) * to.power
+		if to.rows > 0 && (from.share() < imbalance*mean || excess < leastExcess) {
+			return
+		}
+		r, ok := s.portion(from, loads, min(excess, room))
+		if !ok {
+			return
+		}
+		load := loads.of(r)
 		d.move(now, s, r, to.Holder)
+		from.load -= load
+		to.load += load
+		to.rows++
 	}
 }
 
-// moving reports whether a row is being moved.
-func (s *service) moving() bool {
-	return slices.ContainsFunc(s.rows, func(r *row) bool { return len(r.prior) > 0 })
-}
-
 // portion returns a part of a row of the server whose load comes closest to the wanted one.
 func (s *service) portion(from *candidate, loads prefix, wanted float64) (Range, bool) {
 	var best Range
@@ -204,6 +221,9 @@
 		next = append(next, old.part(Range{First: k.Last + 1, Last: old.Last}))
 	}
 	s.rows = slices.Replace(s.rows, i, i+1, next...)
+	for _, r := range next {
+		d.touch(r)
+	}
 	d.stage(moved)
 }
 
--- a/pkg/shard/shard.go
+++ b/pkg/shard/shard.go
@@ -28,6 +28,7 @@
 package shard
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"sort"
@@ -95,11 +96,45 @@
 	return t.Rows[i], true
 }
 
-// Clone returns a copy that shares nothing with the table.
-func (t Table) Clone() Table {
-	c := Table{Next: t.Next, Rows: slices.Clone(t.Rows)}
-	for i := range c.Rows {
-		c.Rows[i].Prior = slices.Clone(c.Rows[i].Prior)
+// Overlay returns the table with the given rows in place of what it had for their keys.
+func (t Table) Overlay(rows []Row) Table {
+	result := Table{Next: t.Next, Rows: make([]Row, 0, len(t.Rows)+len(rows))}
+	for _, old := range t.Rows {
+		result.Rows = append(result.Rows, old.outside(rows)...)
 	}
-	return c
+	result.Rows = append(result.Rows, rows...)
+	slices.SortFunc(result.Rows, func(a, b Row) int { return cmp.Compare(a.First, b.First) })
+	return result
+}
+
+// outside returns the parts of the row whose keys are in none of the given rows.
+func (r Row) outside(rows []Row) []Row {
+	parts := []Row{r}
+	for _, cut := range rows {
+		var next []Row
+		for _, p := range parts {
+			next = append(next, p.without(cut.Range)...)
+		}
+		parts = next
+	}
+	return parts
+}
+
+// without returns the parts of the row whose keys are not in the range.
+func (r Row) without(k Range) []Row {
+	if k.Last < r.First || r.Last < k.First {
+		return []Row{r}
+	}
+	var parts []Row
+	if r.First < k.First {
+		before := r
+		before.Last = k.First - 1
+		parts = append(parts, before)
+	}
+	if k.Last < r.Last {
+		after := r
+		after.First = k.Last + 1
+		parts = append(parts, after)
+	}
+	return parts
 }
--- a/pkg/shard/usage.go
+++ b/pkg/shard/usage.go
@@ -7,8 +7,8 @@
 
 const (
 	// usageStep is the time after which earlier requests count usageDecay times as much.
-	usageStep  = time.Second
-	usageDecay = 0.7
+	usageStep  = 250 * time.Millisecond
+	usageDecay = 0.83
 )
 
 // usage counts the requests of each key, recent ones more.
@@ -53,7 +53,7 @@
 	u.stale = false
 	sum := 0.0
 	for i, c := range u.counts {
-		sum += c * (1 - usageDecay)
+		sum += c * (1 - usageDecay) / usageStep.Seconds()
 		u.sums[i+1] = sum
 	}
 	return u.sums
