steer: Take over changes of servers that come with a slow call to the leader

Change: changes are applied unless the process has its own later reading; after that it asks for all.

--- a/internal/steer/control.go
+++ b/internal/steer/control.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"math/rand/v2"
 	"net/netip"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -57,6 +57,8 @@
 	have      Versions
 	published Versions
 	processes int
+	// ownList reports that a follower has read the servers itself since the leader's last news.
+	ownList   bool
 	parked    []asked
 	followers map[netip.AddrPort]time.Time
 	changes   *changes
@@ -86,13 +88,25 @@
 
 // Start starts the control side. It returns ErrListen where the address cannot be used.
 func Start(o Options) (*Control, error) {
+	c := newControl(o)
+	var err error
+	if c.host, err = listen(c); err != nil {
+		return nil, err
+	}
+	c.group.Go(c.follow.run)
+	c.group.Go(c.loop)
+	return c, nil
+}
+
+// newControl returns a Control without goroutines.
+func newControl(o Options) *Control {
 	run := rand.Uint64()
 	c := &Control{
 		options:   o,
 		events:    make(chan event, queueLength),
 		done:      make(chan struct{}),
 		stop:      make(chan struct{}),
-		run:       hex.EncodeToString([]byte{byte(run), byte(run >> 8), byte(run >> 16), byte(run >> 24), byte(run >> 32), byte(run >> 40)}),
+		run:       strconv.FormatUint(run, 36),
 		list:      listState{directory: disco.New()},
 		tally:     newTally(),
 		changes:   newChanges(),
@@ -106,14 +120,8 @@
 	c.config.confirmed, c.list.confirmed = started.Add(-staleConfig), started.Add(-staleServers)
 	c.have.Run = c.run
 	c.known.Store(&Versions{})
-	var err error
-	if c.host, err = listen(c); err != nil {
-		return nil, err
-	}
 	c.follow = &follower{control: c, target: make(chan netip.AddrPort, 1)}
-	c.group.Go(c.follow.run)
-	c.group.Go(c.loop)
-	return c, nil
+	return c
 }
 
 // Use counts the key of a request, for the balance of keys over servers.
@@ -248,7 +256,6 @@
 	if e.found {
 		c.useConfig(now, e.object)
 	}
-	c.ownReading()
 }
 
 // useConfig puts a configuration in force, unless it is not newer than the present one.
@@ -295,15 +302,7 @@
 		c.options.Log.Info().Int("servers", len(servers)).Msg("servers-changed")
 		c.relist(now)
 	}
-	c.ownReading()
-}
-
-// ownReading makes a follower ask the leader for everything, since its own reading of the store may
-// differ from what the leader believes it to have.
-func (c *Control) ownReading() {
-	if !c.leads {
-		c.known.Store(&Versions{})
-	}
+	c.ownList = !c.leads
 }
 
 // relist tells the decider which servers the partitioned services have.
--- /dev/null
+++ b/internal/steer/follow_test.go
@@ -0,0 +1,101 @@
+package steer
+
+import (
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/samphiredrum/samphiredrum/internal/view"
+	"github.com/samphiredrum/samphiredrum/pkg/assign"
+	"github.com/samphiredrum/samphiredrum/pkg/clock"
+)
+
+func TestSteer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "steer")
+}
+
+// newFollower returns a Control without goroutines and its clock.
+func newFollower() (*Control, *clock.Manual) {
+	manual := clock.NewManual(time.Unix(1000, 0))
+	return newControl(Options{
+		Name:        "entry-1",
+		Address:     netip.MustParseAddrPort("127.0.0.1:7620"),
+		Board:       view.NewBoard(),
+		LongestHold: 10 * time.Second,
+		Clock:       manual,
+		Log:         zerolog.New(io.Discard),
+	}), manual
+}
+
+func named(id string, draining bool) assign.Server {
+	return assign.Server{ID: assign.ServerID(id), Service: "yards", Draining: draining}
+}
+
+var _ = Describe("a follower", func() {
+	var (
+		c     *Control
+		clk   *clock.Manual
+		begun time.Time
+	)
+	BeforeEach(func() {
+		c, clk = newFollower()
+		clk.Advance(10 * time.Second)
+		begun = clk.Now()
+		c.followed(begun, followed{sent: begun, answer: Answer{
+			Leads: true, Whole: true, Listed: true, Have: Versions{Run: "a", Servers: 1},
+			Servers: []assign.Server{named("s-1", false), named("s-2", false)},
+		}})
+	})
+
+	// A change that comes with a call whose way to the leader was slow seems older than the list
+	// before it. It was dropped, and the server got requests 12 s after it had said that it leaves.
+	It("takes over a change that a slow call brings", func() {
+		late := begun.Add(time.Second)
+		c.followed(late, followed{sent: begun.Add(-time.Millisecond), answer: Answer{
+			Leads: true, Listed: true, Have: Versions{Run: "a", Servers: 2},
+			Servers: []assign.Server{named("s-2", true)},
+		}})
+		Expect(c.list.directory.Servers()).To(Equal([]assign.Server{named("s-1", false), named("s-2", true)}))
+	})
+
+	// A list that the process read itself is not replaced by an older one of the leader.
+	It("keeps its own list until the leader's is newer, and then asks for all of it", func() {
+		own := begun.Add(2 * time.Second)
+		c.list.confirmed, c.ownList = own, true
+		c.list.directory.Replace([]assign.Server{named("s-1", true)})
+		c.followed(own, followed{sent: own, answer: Answer{
+			Leads: true, Listed: true, Have: Versions{Run: "a", Servers: 2}, ServersAge: time.Second,
+			Servers: []assign.Server{named("s-2", true)},
+		}})
+		Expect(c.list.directory.Servers()).To(Equal([]assign.Server{named("s-1", true)}))
+
+		c.followed(own.Add(time.Second), followed{sent: own.Add(time.Second), answer: Answer{
+			Leads: true, Listed: true, Have: Versions{Run: "a", Servers: 3},
+			Servers: []assign.Server{named("s-3", false)},
+		}})
+		Expect(*c.known.Load()).To(Equal(Versions{}))
+	})
+
+	// A leader that has just taken over may know less than its predecessor told.
+	It("does not take over an older list from another leader", func() {
+		c.list.directory.Replace([]assign.Server{named("s-1", true), named("s-2", false)})
+		next := begun.Add(300 * time.Millisecond)
+		c.followed(next, followed{sent: next, answer: Answer{
+			Leads: true, Whole: true, Listed: true, Have: Versions{Run: "b", Servers: 7}, ServersAge: time.Second,
+			Servers: []assign.Server{named("s-1", false), named("s-2", false)},
+		}})
+		Expect(c.list.directory.Servers()).To(Equal([]assign.Server{named("s-1", true), named("s-2", false)}))
+
+		later := begun.Add(time.Second)
+		c.followed(later, followed{sent: later, answer: Answer{
+			Leads: true, Listed: true, Have: Versions{Run: "b", Servers: 7},
+		}})
+		Expect(*c.known.Load()).To(Equal(Versions{}))
+	})
+})
--- a/internal/steer/lead.go
+++ b/internal/steer/lead.go
@@ -244,17 +244,17 @@
 	if a.Config != nil {
 		c.unpackConfig(now, a)
 	}
-	if confirmed := e.sent.Add(a.Parked - a.ServersAge); !c.list.confirmed.After(confirmed) {
-		c.list.confirmed = confirmed
+	have := a.Have
+	if c.takeServers(e.sent.Add(a.Parked-a.ServersAge), a) {
+		have = Versions{}
 	}
-	c.followServers(a)
 	c.followTables(a)
 	if a.Processes != c.processes {
 		c.processes = a.Processes
 		c.published = Versions{}
 	}
 	c.have = a.Have
-	c.known.Store(&a.Have)
+	c.known.Store(&have)
 }
 
 func (c *Control) unpackConfig(now time.Time, a Answer) {
@@ -266,6 +266,24 @@
 	c.useConfig(now, store.Object{Name: c.options.Formats.ConfigObject, Version: a.ConfigRevision, Value: text})
 }
 
+// takeServers takes over the servers of an answer as they were at a time, unless this process knows
+// them from a later reading. It reports whether the leader should send all of them next time, because
+// its changes lead to a list that this process does not have.
+func (c *Control) takeServers(at time.Time, a Answer) bool {
+	older := c.list.confirmed.After(at)
+	if older && (c.ownList || a.Whole) {
+		c.ownList = true
+		return false
+	}
+	if !older {
+		c.list.confirmed = at
+	}
+	c.followServers(a)
+	whole := c.ownList && !a.Whole
+	c.ownList = false
+	return whole
+}
+
 func (c *Control) followServers(a Answer) {
 	if !a.Listed || !a.Whole && len(a.Servers) == 0 && len(a.Removed) == 0 {
 		return
