shard: Never shorten what an owner may hold; steer: cede the lead where the store refuses the leader

The leader alone was refused by the store; the others waited for its lease and all read the store. Change: ends of holds only rise; a leader without the store cedes to a follower that read the record; lease 2 s and hold 4 s; reads spread over candidates; pools resize; a start without configuration reads it at once.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -197,7 +197,7 @@
 			}
 			continue
 		}
-		started := time.Now()
+		started, sends := time.Now(), x.sends
 		verdict, err := x.send(ctx, b)
 		if err == nil && !verdict.NotRun {
 			x.relay.options.Ran(x.service.id, b.server.ID, time.Since(started))
@@ -205,8 +205,9 @@
 		if x.settled(ctx, verdict, err) {
 			return
 		}
-		if verdict.Elsewhere {
-			// The key has moved, and this process has not heard of it yet.
+		if verdict.Elsewhere || x.sends == sends {
+			// The key has moved, and this process has not heard of it yet, or its owner cannot be
+			// reached.
 			if v = x.nextView(ctx, v, limit); v == nil {
 				x.give(ReasonNoOwner)
 				return
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -19,7 +19,7 @@
 	reservedConnections = 8
 	// leastConnections is kept to each server, however many processes share its connections.
 	leastConnections = 2
-	// assumedProcesses is the number of processes while it is not known.
+	// assumedProcesses is the number of processes that share a retry burst while it is not known.
 	assumedProcesses = 16
 	// burstShare is the part of the retry burst that is used, since a process that starts again
 	// has a new burst.
@@ -87,7 +87,6 @@
 		b := s.backends[a.ID]
 		if b == nil || b.server.Address != a.Address || b.server.Born != a.Born {
 			b = &backend{pool: wire.New(a.Address, wire.Options{
-				Connections: connections(c.Connections, v.Processes),
 				BodyBytes:   answerBytes,
 				Idle:        serverIdle,
 				Dial:        serverDial,
@@ -96,6 +95,7 @@
 				Clock:       s.options.Clock,
 			})}
 		}
+		b.pool.SetConnections(connections(c.Connections, v.Processes))
 		if a.Draining && b.leaving.IsZero() {
 			b.leaving = now
 		}
@@ -114,7 +114,7 @@
 // connections returns this process's part of the connections that a server accepts.
 func connections(total, processes int) int {
 	if processes == 0 {
-		processes = assumedProcesses
+		return leastConnections
 	}
 	return max(leastConnections, (total-reservedConnections)/(processes+1))
 }
--- a/internal/steer/calls.go
+++ b/internal/steer/calls.go
@@ -33,7 +33,7 @@
 }
 
 func (w writeRecord) run() {
-	ctx, cancel := context.WithTimeout(w.control.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(w.control.ctx, writeTimeout)
 	defer cancel()
 	version, err := w.control.options.Objects.Put(ctx, recordObject, w.value, w.ifVersion)
 	w.control.post(recordWritten{record: w.record, version: version, tables: w.tables, err: err})
--- a/internal/steer/control.go
+++ b/internal/steer/control.go
@@ -38,6 +38,8 @@
 	tally *tally
 	// known are the versions that the last answer of the leader gave.
 	known atomic.Pointer[Versions]
+	// claim is the version of the record that the next call to the leader claims the lead with.
+	claim atomic.Uint64
 
 	// What follows belongs to the control goroutine.
 	run       string
@@ -58,7 +60,9 @@
 	published Versions
 	processes int
 	// ownList reports that a follower has read the servers itself since the leader's last news.
-	ownList   bool
+	ownList bool
+	// claiming reports that the leader does not reach the store.
+	claiming  bool
 	parked    []asked
 	followers map[netip.AddrPort]time.Time
 	changes   *changes
@@ -213,7 +217,7 @@
 		return
 	}
 	watch := c.leads && c.config.revision > 0
-	if !watch && age(now, c.config.confirmed) < staleConfig {
+	if !watch && !c.leads && age(now, c.config.confirmed) < staleConfig {
 		return
 	}
 	c.config.reading = true
--- a/internal/steer/lead.go
+++ b/internal/steer/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -133,6 +134,9 @@
 	if c.leads {
 		return
 	}
+	if c.claiming {
+		c.claim.Store(e.object.Version)
+	}
 	if c.tables == nil || c.have.Run != r.Leader.Run {
 		// Until the leader answers, the stored tables are the best that is known.
 		c.tables = r.Services
@@ -159,11 +163,26 @@
 	if c.leads {
 		c.followers[a.ask.From] = now
 		c.weigh(now, a.ask.Load)
+		if c.cede(now, a) {
+			return
+		}
 	}
 	c.parked = append(c.parked, a)
 	c.answerParked(now)
 }
 
+// cede gives the lead to a follower that reads the record while this process does not reach the
+// store, so that nobody has to wait for the lease to lapse. It reports whether it did.
+func (c *Control) cede(now time.Time, a asked) bool {
+	if a.ask.Claim == 0 || a.ask.Claim != c.candidate.Version() || age(now, c.spoke) < cedeAfter {
+		return false
+	}
+	c.options.Log.Info().Stringer("to", a.ask.From).Dur("silent-ms", age(now, c.spoke)).Msg("lead-ceded")
+	c.advance(now, leader.Cede{})
+	a.answer <- Answer{Ceded: true}
+	return true
+}
+
 // weigh tells the decider what a process saw of the requests.
 func (c *Control) weigh(now time.Time, l Load) {
 	for service, keys := range l.Keys {
@@ -203,6 +222,7 @@
 		Leads:      true,
 		Have:       c.published,
 		Processes:  c.processes,
+		StoreAway:  age(now, c.spoke) >= cedeAfter,
 		Parked:     age(now, q.since),
 		ConfigAge:  age(now, c.config.confirmed),
 		ServersAge: age(now, c.list.confirmed),
@@ -225,11 +245,16 @@
 
 // ask returns the call of this process to the leader. It is called by the follower's goroutine.
 func (c *Control) ask() Ask {
-	return Ask{From: c.options.Address, Have: *c.known.Load(), Load: c.tally.take()}
+	return Ask{From: c.options.Address, Have: *c.known.Load(), Load: c.tally.take(), Claim: c.claim.Swap(0)}
 }
 
 // followed handles the leader's answer.
 func (c *Control) followed(now time.Time, e followed) {
+	if e.err == nil && e.answer.Ceded && !c.leads {
+		c.options.Log.Info().Msg("lead-offered")
+		c.advance(now, leader.Ceded{Version: c.candidate.Version()})
+		return
+	}
 	if e.err != nil || !e.answer.Leads || c.leads {
 		if e.err != nil && !c.leads {
 			c.options.Log.Warn().Err(e.err).Msg("leader-unreachable")
@@ -237,7 +262,11 @@
 		return
 	}
 	a := e.answer
-	c.advance(now, leader.Alive{})
+	c.advance(now, leader.Alive{Candidates: a.Processes})
+	c.claiming = a.StoreAway
+	if a.StoreAway && rand.IntN(max(1, a.Processes)) < claimants {
+		c.advance(now, leader.Look{})
+	}
 	if confirmed := e.sent.Add(a.Parked - a.ConfigAge); c.config.confirmed.Before(confirmed) {
 		c.config.confirmed = confirmed
 	}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -39,29 +39,36 @@
 
 const (
 	// leaseTime is how long a leader leads after it sent a write of its record.
-	leaseTime = 3 * time.Second
+	leaseTime = 2 * time.Second
 	// holdTime is the usual time of a grant of keys. It is longer than it takes to replace a lost
 	// leader and renew the grants.
-	holdTime = 6 * time.Second
+	holdTime = 4 * time.Second
 	// tickEvery is the resolution of the control timers.
 	tickEvery = 100 * time.Millisecond
 	// leaderListEvery is the time between two lists of the servers by the leader.
-	leaderListEvery = 500 * time.Millisecond
+	leaderListEvery = 600 * time.Millisecond
 	// staleServers and staleConfig are the ages at which a follower reads the store itself.
-	staleServers = 1300 * time.Millisecond
-	staleConfig  = 1500 * time.Millisecond
+	staleServers = 1400 * time.Millisecond
+	staleConfig  = 1700 * time.Millisecond
 	// firstReading is how long a new process waits for the leader before it reads the store itself.
-	firstReading = 600 * time.Millisecond
+	firstReading = 1200 * time.Millisecond
+	// cedeAfter is how long the store must be silent to the leader before it cedes the lead to a
+	// process that can read the record.
+	cedeAfter = 600 * time.Millisecond
+	// claimants is the number of followers that look for the store in place of a leader without it.
+	claimants = 3
 	// storeRetry is the time from a read that failed to the next one.
 	storeRetry = 700 * time.Millisecond
 	// configWatch is how long the leader's watch of the configuration waits for a change.
-	configWatch = 700 * time.Millisecond
+	configWatch = 900 * time.Millisecond
 	// watchAge is how old the news of an answered watch may be.
 	watchAge = 100 * time.Millisecond
-	// callTimeout bounds other calls to the store.
-	callTimeout = 800 * time.Millisecond
+	// callTimeout bounds reads of the store, writeTimeout writes of the record, several of which fit
+	// in a lease.
+	callTimeout  = 800 * time.Millisecond
+	writeTimeout = 500 * time.Millisecond
 	// awayAfter is the time without an answer after which the store counts as away.
-	awayAfter = 1200 * time.Millisecond
+	awayAfter = 900 * time.Millisecond
 	// parkTime is how long the leader keeps a follower's call open when nothing changes.
 	parkTime = 500 * time.Millisecond
 	// followerAge is how long ago a follower may have called to be counted.
--- a/internal/steer/talk.go
+++ b/internal/steer/talk.go
@@ -40,6 +40,9 @@
 	Have Versions
 	// Load is what the follower saw since its last call.
 	Load Load
+	// Claim is the version of the record that the follower has just read, where the leader said that
+	// it does not reach the store, else 0.
+	Claim uint64
 }
 
 // Answer is the leader's answer. Parts that the follower has are left out.
@@ -48,6 +51,10 @@
 	Leads     bool
 	Have      Versions
 	Processes int
+	// StoreAway reports that the leader does not reach the store.
+	StoreAway bool
+	// Ceded reports that the process does not lead any more, in favour of the follower.
+	Ceded bool
 	// ConfigAge and ServersAge are the times since the leader read them.
 	ConfigAge  time.Duration
 	ServersAge time.Duration
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -23,6 +23,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -92,11 +93,15 @@
 type Pool struct {
 	address netip.AddrPort
 	options Options
-	slots   chan struct{}
 	mu      sync.Mutex
 	idle    []*conn
 	busy    map[*conn]struct{}
 	closed  bool
+	// limit is the largest number of calls at once, used the number of calls that have a place.
+	limit, used int
+	// waiters are the calls that wait for a place, the first one first. A place is handed over by
+	// closing the channel.
+	waiters []chan struct{}
 }
 
 // New returns a Pool for address. It opens connections when they are needed.
@@ -105,7 +110,7 @@
 	return &Pool{
 		address: address,
 		options: o,
-		slots:   make(chan struct{}, o.Connections),
+		limit:   o.Connections,
 		busy:    map[*conn]struct{}{},
 	}
 }
@@ -218,22 +223,73 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	select {
-	case p.slots <- struct{}{}:
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	if err := p.enter(ctx); err != nil {
+		return nil, err
 	}
 	c, err := p.take()
 	if err == nil && c == nil {
 		c, err = p.open(ctx)
 	}
 	if err != nil {
-		<-p.slots
+		p.leave()
 		return nil, err
 	}
 	return c, nil
 }
 
+// SetConnections changes the largest number of open connections. Calls in flight go on.
+func (p *Pool) SetConnections(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = n
+	p.admit()
+}
+
+// enter waits for a place for one call.
+func (p *Pool) enter(ctx context.Context) error {
+	p.mu.Lock()
+	if p.used < p.limit {
+		p.used++
+		p.mu.Unlock()
+		return nil
+	}
+	turn := make(chan struct{})
+	p.waiters = append(p.waiters, turn)
+	p.mu.Unlock()
+	select {
+	case <-turn:
+		return nil
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i := slices.Index(p.waiters, turn); i >= 0 {
+		p.waiters = slices.Delete(p.waiters, i, i+1)
+	} else {
+		// The place was handed over at the same moment.
+		p.used--
+		p.admit()
+	}
+	return ctx.Err()
+}
+
+// leave frees the place of one call.
+func (p *Pool) leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.used--
+	p.admit()
+}
+
+// admit hands free places to those that wait. The caller holds the lock.
+func (p *Pool) admit() {
+	for p.used < p.limit && len(p.waiters) > 0 {
+		p.used++
+		close(p.waiters[0])
+		p.waiters = slices.Delete(p.waiters, 0, 1)
+	}
+}
+
 // take returns an idle connection that is still usable, or nil.
 func (p *Pool) take() (*conn, error) {
 	p.mu.Lock()
@@ -302,5 +358,5 @@
 		c.close()
 	}
 	p.mu.Unlock()
-	<-p.slots
+	p.leave()
 }
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -43,6 +43,12 @@
 	retryEvery = 250 * time.Millisecond
 	// maxJitter spreads the candidates that would all write at the same moment.
 	maxJitter = 200 * time.Millisecond
+	// firstJitter spreads the candidates where there is no record yet. One that wakes later finds it.
+	firstJitter = time.Second
+	// readShare is the time between reads for each candidate, so that many read no more than a few.
+	readShare = 60 * time.Millisecond
+	// longestRead bounds the time between reads.
+	longestRead = 2 * time.Second
 )
 
 // Config configures a Candidate.
@@ -77,8 +83,18 @@
 // Missing says that there is no record.
 type Missing struct{}
 
-// Alive says that the leader showed that it leads.
-type Alive struct{}
+// Alive says that the leader showed that it leads, and how many candidates there are.
+type Alive struct{ Candidates int }
+
+// Look asks to read the record, though the leader is alive.
+type Look struct{}
+
+// Ceded says that the leader has stopped to lead in favour of this candidate, if the record still has
+// the version.
+type Ceded struct{ Version uint64 }
+
+// Cede stops to lead without a write, so that another candidate may write at once.
+type Cede struct{}
 
 // Written is the success of a Write.
 type Written struct{ Sequence, Version uint64 }
@@ -98,6 +114,9 @@
 func (Seen) event()     {}
 func (Missing) event()  {}
 func (Alive) event()    {}
+func (Look) event()     {}
+func (Ceded) event()    {}
+func (Cede) event()     {}
 func (Written) event()  {}
 func (Conflict) event() {}
 func (Failed) event()   {}
@@ -140,6 +159,14 @@
 	reading, writing  bool
 	nextRead, nextTry time.Time
 	resigned          bool
+	// candidates is the number of candidates that the leader last told.
+	candidates int
+	// looked is set while a read is asked for though the leader is alive.
+	looked bool
+	// ceded is the version of the record whose holder ceded the lead to this candidate.
+	ceded uint64
+	// missed reports that no record was found before, so that the next finding may lead to a write.
+	missed bool
 }
 
 // New returns a Candidate that knows nothing of the record. The random source spreads candidates.
@@ -153,6 +180,9 @@
 // Expires returns when the lease ends.
 func (c *Candidate) Expires() time.Time { return c.held.Expires() }
 
+// Version returns the version of the record as this candidate last read or wrote it.
+func (c *Candidate) Version() uint64 { return c.version }
+
 // Term returns the term of the last record.
 func (c *Candidate) Term() uint64 { return c.record.Term }
 
@@ -163,16 +193,23 @@
 func (c *Candidate) Step(now time.Time, e Event) []Action {
 	switch e := e.(type) {
 	case Seen:
-		c.reading = false
-		c.nextRead = now.Add(readEvery)
+		c.reading, c.looked = false, false
+		c.nextRead = now.Add(c.readEvery())
 		c.see(now, e)
 	case Missing:
-		c.reading = false
-		c.nextRead = now.Add(readEvery)
-		c.record, c.version, c.known = Record{}, 0, true
-		c.leads = false
+		c.miss(now)
 	case Alive:
 		c.alive = now
+		c.candidates = e.Candidates
+	case Look:
+		c.looked = true
+	case Ceded:
+		c.ceded = e.Version
+		c.alive = time.Time{}
+	case Cede:
+		c.leads, c.known = false, false
+		c.held.Drop()
+		c.nextRead = now.Add(c.config.Lease)
 	case Written:
 		c.writing = false
 		c.wrote(now, e.Sequence, e.Version)
@@ -191,6 +228,24 @@
 	return c.act(now)
 }
 
+// readEvery returns the time between reads, which is longer where many candidates read.
+func (c *Candidate) readEvery() time.Duration {
+	return min(longestRead, max(readEvery, time.Duration(c.candidates)*readShare))
+}
+
+// miss handles the lack of a record. The first time it only waits a random time, after which another
+// candidate has mostly made the record.
+func (c *Candidate) miss(now time.Time) {
+	c.reading, c.looked, c.leads = false, false, false
+	c.record, c.version = Record{}, 0
+	c.nextRead = now.Add(readEvery)
+	c.known = c.missed
+	if !c.missed {
+		c.missed = true
+		c.nextRead = now.Add(time.Duration(c.random.Int64N(int64(firstJitter))))
+	}
+}
+
 func (c *Candidate) see(now time.Time, e Seen) {
 	if e.Record.Run == c.config.Run && c.sent[e.Record.Sequence] != (time.Time{}) {
 		c.wrote(now, e.Record.Sequence, e.Version)
@@ -253,13 +308,13 @@
 }
 
 func (c *Candidate) readDue(now time.Time) bool {
-	if c.reading || c.writing || now.Before(c.nextRead) {
+	if c.reading || c.writing || now.Before(c.nextRead) && !c.looked {
 		return false
 	}
 	if c.leads {
 		return !c.known
 	}
-	return !c.known || now.Sub(c.alive) >= aliveFor
+	return !c.known || c.looked || now.Sub(c.alive) >= aliveFor
 }
 
 // mayWrite reports whether the record may be written: by the leader, or where it has lapsed.
@@ -273,6 +328,9 @@
 	if now.Sub(c.alive) < aliveFor {
 		return false
 	}
+	if c.ceded != 0 && c.ceded == c.version {
+		return true
+	}
 	switch c.record.Holder {
 	case "", c.config.Name:
 		// The holder has resigned, or is an earlier run on this VM, which has ended.
--- a/pkg/shard/decider.go
+++ b/pkg/shard/decider.go
@@ -84,8 +84,11 @@
 	sending  bool
 	failures int
 	next     time.Time
-	// until is when the owner can no longer hold the keys, given no further grants.
-	until    time.Time
+	// until is when the owner can no longer hold the keys by the grants that have ended. A later grant
+	// with a shorter time does not shorten it.
+	until time.Time
+	// pending is the same for the grant that is under way, the zero time where there is none.
+	pending  time.Time
 	handover string
 }
 
@@ -94,6 +97,7 @@
 	Holder
 	fence   lease.Fence
 	until   time.Time
+	pending time.Time
 	sending bool
 	next    time.Time
 }
@@ -279,6 +283,12 @@
 	return ok && !a.Draining && a.Born == h.Born && !now.Before(s.suspects[h.Server])
 }
 
+// serving reports whether the holder may go on with the keys that it has.
+func (s *service) serving(now time.Time, h Holder) bool {
+	a, ok := s.servers[h.Server]
+	return ok && a.Born == h.Born && !now.Before(s.suspects[h.Server])
+}
+
 // staged reports whether the row is not stored yet.
 func (d *Decider) staged(r *row) bool { return r.write > d.stored }
 
@@ -296,11 +306,15 @@
 		return
 	}
 	r.sending = false
+	if e.Outcome == Lost {
+		r.until = later(r.until, r.pending)
+	}
+	r.pending = time.Time{}
 	switch e.Outcome {
 	case Done:
 		r.failures = 0
 		r.next = now.Add(d.config.Hold / renewals)
-		r.until = now.Add(clockMargin.Stretch(e.Grant.Hold))
+		r.until = later(r.until, now.Add(clockMargin.Stretch(e.Grant.Hold)))
 		r.handover = ""
 		if !r.Open {
 			r.Open = true
@@ -331,9 +345,14 @@
 		}
 		p.sending = false
 		p.next = now.Add(e.Grant.Hold / renewals)
-		if e.Outcome == Done {
-			p.until = now.Add(clockMargin.Stretch(e.Grant.Hold))
+		switch e.Outcome {
+		case Done:
+			p.until = later(p.until, now.Add(clockMargin.Stretch(e.Grant.Hold)))
+		case Lost:
+			p.until = later(p.until, p.pending)
+		case Fenced, Ended:
 		}
+		p.pending = time.Time{}
 	}
 }
 
@@ -422,7 +441,7 @@
 		return d.keep(now, s, r)
 	}
 	r.current = nil
-	r.prior = slices.DeleteFunc(r.prior, func(p *prior) bool { return !now.Before(p.until) })
+	r.prior = slices.DeleteFunc(r.prior, func(p *prior) bool { return !now.Before(later(p.until, p.pending)) })
 	if len(r.prior) > 0 {
 		return recall(now, s, r)
 	}
@@ -434,7 +453,7 @@
 		return nil
 	}
 	r.sending = true
-	r.until = later(r.until, now.Add(OrderTimeout+clockMargin.Stretch(hold)))
+	r.pending = now.Add(OrderTimeout + clockMargin.Stretch(hold))
 	return []Action{Grant{
 		Service: s.id, Range: r.Range, Owner: r.Owner, Fence: r.Fence, Hold: hold, Handover: r.handover,
 	}}
@@ -456,7 +475,7 @@
 // keep renews the present owner while its successor is not stored, which takes long where the
 // store is slow.
 func (d *Decider) keep(now time.Time, s *service, r *row) []Action {
-	if r.current == nil || !r.current.Open || !s.usable(now, r.current.Owner) {
+	if r.current == nil || !r.current.Open || !s.serving(now, r.current.Owner) {
 		return nil
 	}
 	for _, p := range r.prior {
@@ -465,7 +484,7 @@
 		}
 		p.sending = true
 		hold := d.hold(now, r)
-		p.until = later(p.until, now.Add(OrderTimeout+clockMargin.Stretch(hold)))
+		p.pending = now.Add(OrderTimeout + clockMargin.Stretch(hold))
 		return []Action{Grant{
 			Service: s.id, Range: r.Range, Owner: p.Holder, Fence: r.current.Fence, Hold: hold,
 		}}
--- a/pkg/shard/plan.go
+++ b/pkg/shard/plan.go
@@ -204,10 +204,10 @@
 	old := s.rows[i]
 	moved := &row{Row: Row{Range: k, Owner: to, Fence: s.take()}}
 	for _, p := range old.prior {
-		moved.prior = append(moved.prior, &prior{Holder: p.Holder, fence: p.fence, until: p.until})
+		moved.prior = append(moved.prior, p.copy())
 	}
-	if now.Before(old.until) {
-		moved.prior = append(moved.prior, &prior{Holder: old.Owner, fence: old.Fence, until: old.until, next: old.next})
+	if until := later(old.until, old.pending); now.Before(until) {
+		moved.prior = append(moved.prior, &prior{Holder: old.Owner, fence: old.Fence, until: until, next: old.next})
 	}
 	if current := old.inForce(); current != nil {
 		current.Range = k
@@ -241,14 +241,20 @@
 	return &c
 }
 
+// copy returns the holder for a part of its keys, without the order that is under way.
+func (p *prior) copy() *prior {
+	return &prior{Holder: p.Holder, fence: p.fence, until: later(p.until, p.pending), next: p.next}
+}
+
 // part returns the row for a part of its keys.
 func (r *row) part(k Range) *row {
 	c := *r
 	c.Range = k
 	c.sending = false
+	c.until, c.pending = later(r.until, r.pending), time.Time{}
 	c.prior = nil
 	for _, p := range r.prior {
-		c.prior = append(c.prior, &prior{Holder: p.Holder, fence: p.fence, until: p.until})
+		c.prior = append(c.prior, p.copy())
 	}
 	if r.current != nil {
 		current := *r.current
