steer: Yield the lead to stronger VMs; leader: spread and bound reads; shard: join rows, fewer releases to silent servers

Silent servers got up to 590 releases a second. Change: one read a look; the leader offers the lead as soon as the store refuses it and yields to VMs 1.9 times as strong; neighbouring rows of one owner become one; one release tries a silent server.

--- a/internal/disco/disco.go
+++ b/internal/disco/disco.go
@@ -30,6 +30,14 @@
 	away     bool
 	returned time.Time
 	known    bool
+	changes  []Change
+}
+
+// Change is a server that came, began to leave, went, or changed otherwise.
+type Change struct {
+	Server assign.Server
+	// Gone reports that there is no entry any more.
+	Gone bool
 }
 
 // New returns a Directory that knows no server.
@@ -61,12 +69,26 @@
 // Replace sets the servers, which are in order of their names, and reports whether they changed. A
 // warm-up time that only runs down is no change.
 func (d *Directory) Replace(servers []assign.Server) bool {
-	changed := !d.known || !slices.EqualFunc(d.servers, servers, equal)
+	first := !d.known
+	d.changes = d.changes[:0]
+	for _, s := range servers {
+		if i, ok := slices.BinarySearchFunc(d.servers, s, byName); !ok || !equal(d.servers[i], s) {
+			d.changes = append(d.changes, Change{Server: s})
+		}
+	}
+	for _, s := range d.servers {
+		if _, ok := slices.BinarySearchFunc(servers, s, byName); !ok {
+			d.changes = append(d.changes, Change{Server: s, Gone: true})
+		}
+	}
 	d.known = true
 	d.servers = servers
-	return changed
+	return first || len(d.changes) > 0
 }
 
+// Changes returns what the last Replace or Update changed. It is valid until the next one.
+func (d *Directory) Changes() []Change { return d.changes }
+
 // keepMissing adds the known servers that are not in the list, unless their address is taken.
 func (d *Directory) keepMissing(next []assign.Server) []assign.Server {
 	kept := next
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -104,6 +104,7 @@
 			Server:        platform.ParseServer,
 		},
 		Board:       board,
+		Power:       s.Power,
 		LongestHold: s.Bounds.LongestHold,
 		Clock:       c,
 		Log:         log,
--- a/internal/steer/control.go
+++ b/internal/steer/control.go
@@ -46,14 +46,18 @@
 	candidate *leader.Candidate
 	decider   *shard.Decider
 	leads     bool
+	// led is when this process last took the lead.
+	led time.Time
 	// record and recordVersion are the last record that was read.
 	record record
 	// urgent reports that the tables changed in a way that must be stored before it is acted on.
 	urgent bool
 	// spoke is when the store last answered.
-	spoke  time.Time
-	config configState
-	list   listState
+	spoke time.Time
+	// failing is since when every call to the store failed, the zero time where the last one did not.
+	failing time.Time
+	config  configState
+	list    listState
 	// tables are those that the leader sent, for a process that follows.
 	tables    map[assign.ServiceID]shard.Table
 	have      Versions
@@ -61,8 +65,8 @@
 	processes int
 	// ownList reports that a follower has read the servers itself since the leader's last news.
 	ownList bool
-	// claiming reports that the leader does not reach the store.
-	claiming  bool
+	// claiming is since when the leader does not reach the store, the zero time where it does.
+	claiming  time.Time
 	parked    []asked
 	followers map[netip.AddrPort]time.Time
 	changes   *changes
@@ -117,7 +121,7 @@
 		followers: map[netip.AddrPort]time.Time{},
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	c.candidate = leader.New(leader.Config{Name: o.Name, Run: c.run, Lease: leaseTime}, rand.New(rand.NewPCG(run, rand.Uint64())))
+	c.candidate = leader.New(leader.Config{Name: o.Name, Run: c.run, Lease: leaseTime, Delay: o.delay()}, rand.New(rand.NewPCG(run, rand.Uint64())))
 	c.decider = shard.NewDecider(shard.Config{Hold: min(holdTime, o.LongestHold), LongestHold: o.LongestHold})
 	// The leader gets a moment to answer before this process reads the store itself.
 	started := o.Clock.Now().Add(firstReading)
@@ -240,6 +244,9 @@
 func (c *Control) answered(now time.Time, err error) {
 	if reached(err) {
 		c.spoke = now
+		c.failing = time.Time{}
+	} else if c.failing.IsZero() {
+		c.failing = now
 	}
 }
 
@@ -303,7 +310,7 @@
 	if c.list.directory.Update(now, servers) {
 		c.have.Servers++
 		c.changes.update(c.list.directory.Servers(), c.have.Servers)
-		c.options.Log.Info().Int("servers", len(servers)).Msg("servers-changed")
+		c.logServers()
 		c.relist(now)
 	}
 	c.ownList = !c.leads
--- a/internal/steer/lead.go
+++ b/internal/steer/lead.go
@@ -44,6 +44,7 @@
 	}
 	c.options.Log.Info().Uint64("term", c.candidate.Term()).Msg("lead-taken")
 	c.have.Run = c.run
+	c.led = now
 	c.processes = 1
 	c.changes = newChanges()
 	c.changes.update(c.list.directory.Servers(), c.have.Servers)
@@ -134,7 +135,7 @@
 	if c.leads {
 		return
 	}
-	if c.claiming {
+	if !c.claiming.IsZero() {
 		c.claim.Store(e.object.Version)
 	}
 	if c.tables == nil || c.have.Run != r.Leader.Run {
@@ -171,10 +172,22 @@
 	c.answerParked(now)
 }
 
-// cede gives the lead to a follower that reads the record while this process does not reach the
-// store, so that nobody has to wait for the lease to lapse. It reports whether it did.
+// refused reports whether the store has not answered this process for some time.
+func (c *Control) refused(now time.Time) bool {
+	return !c.failing.IsZero() && age(now, c.failing) >= cedeAfter
+}
+
+// weaker reports whether a process on a VM of that power should lead instead of this one. The leader
+// has the most work.
+func (c *Control) weaker(now time.Time, power float64) bool {
+	return c.options.Power > 0 && power >= yieldRatio*c.options.Power && age(now, c.led) >= yieldAfter
+}
+
+// cede gives the lead to a follower that has read the record, where this process does not reach the
+// store or its VM is weaker, so that nobody has to wait for the lease to lapse. It reports whether it
+// did.
 func (c *Control) cede(now time.Time, a asked) bool {
-	if a.ask.Claim == 0 || a.ask.Claim != c.candidate.Version() || age(now, c.spoke) < cedeAfter {
+	if a.ask.Claim == 0 || a.ask.Claim != c.candidate.Version() || !c.refused(now) && !c.weaker(now, a.ask.Power) {
 		return false
 	}
 	c.options.Log.Info().Stringer("to", a.ask.From).Dur("silent-ms", age(now, c.spoke)).Msg("lead-ceded")
@@ -197,7 +210,7 @@
 func (c *Control) answerParked(now time.Time) {
 	kept := c.parked[:0]
 	for _, a := range c.parked {
-		if c.leads && a.ask.Have == c.published && age(now, a.since) < parkTime {
+		if c.leads && a.ask.Have == c.published && age(now, a.since) < c.parkTime(now) {
 			kept = append(kept, a)
 			continue
 		}
@@ -207,6 +220,15 @@
 	c.parked = kept
 }
 
+// parkTime returns how long a call is kept open. While the store refuses this process the followers
+// have to answer soon.
+func (c *Control) parkTime(now time.Time) time.Duration {
+	if c.refused(now) {
+		return 0
+	}
+	return parkTime
+}
+
 // answer returns what the follower lacks.
 func (c *Control) answer(now time.Time, q asked) Answer {
 	if !c.leads {
@@ -222,7 +244,8 @@
 		Leads:      true,
 		Have:       c.published,
 		Processes:  c.processes,
-		StoreAway:  age(now, c.spoke) >= cedeAfter,
+		StoreAway:  c.refused(now),
+		Yields:     c.weaker(now, q.ask.Power),
 		Parked:     age(now, q.since),
 		ConfigAge:  age(now, c.config.confirmed),
 		ServersAge: age(now, c.list.confirmed),
@@ -245,7 +268,7 @@
 
 // ask returns the call of this process to the leader. It is called by the follower's goroutine.
 func (c *Control) ask() Ask {
-	return Ask{From: c.options.Address, Have: *c.known.Load(), Load: c.tally.take(), Claim: c.claim.Swap(0)}
+	return Ask{From: c.options.Address, Have: *c.known.Load(), Load: c.tally.take(), Power: c.options.Power, Claim: c.claim.Swap(0)}
 }
 
 // followed handles the leader's answer.
@@ -263,8 +286,13 @@
 	}
 	a := e.answer
 	c.advance(now, leader.Alive{Candidates: a.Processes})
-	c.claiming = a.StoreAway
-	if a.StoreAway && rand.IntN(max(1, a.Processes)) < claimants {
+	switch {
+	case !a.StoreAway && !a.Yields:
+		c.claiming = time.Time{}
+	case c.claiming.IsZero():
+		c.claiming = now
+	}
+	if a.Yields || a.StoreAway && age(now, c.claiming) >= c.options.delay() && rand.IntN(max(1, a.Processes)) < claimants {
 		c.advance(now, leader.Look{})
 	}
 	if confirmed := e.sent.Add(a.Parked - a.ConfigAge); c.config.confirmed.Before(confirmed) {
@@ -322,7 +350,7 @@
 		before = c.list.directory.Servers()
 	}
 	if c.list.directory.Replace(apply(before, a.Servers, a.Removed)) {
-		c.options.Log.Info().Int("servers", len(c.list.directory.Servers())).Msg("servers-changed")
+		c.logServers()
 	}
 }
 
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -52,11 +52,19 @@
 	staleConfig  = 1700 * time.Millisecond
 	// firstReading is how long a new process waits for the leader before it reads the store itself.
 	firstReading = 1200 * time.Millisecond
-	// cedeAfter is how long the store must be silent to the leader before it cedes the lead to a
-	// process that can read the record.
-	cedeAfter = 600 * time.Millisecond
+	// cedeAfter is how long all calls of the leader to the store must have failed before it cedes the
+	// lead to a process that can read the record.
+	cedeAfter = 400 * time.Millisecond
+	// delayPower over the power of a VM's processor, in cores, is how much longer than others the
+	// process waits before it takes the lead, at most longestDelay.
+	delayPower   = 0.05
+	longestDelay = 400 * time.Millisecond
 	// claimants is the number of followers that look for the store in place of a leader without it.
-	claimants = 3
+	claimants = 6
+	// yieldRatio is how many times stronger another VM must be for the leader to yield to it, after
+	// yieldAfter in the lead.
+	yieldRatio = 1.9
+	yieldAfter = 2 * time.Second
 	// storeRetry is the time from a read that failed to the next one.
 	storeRetry = 700 * time.Millisecond
 	// configWatch is how long the leader's watch of the configuration waits for a change.
@@ -116,12 +124,22 @@
 	Keys    Keys
 	Formats Formats
 	Board   *view.Board
+	// Power is the part of a processor that the VM has, in cores, 0 where it is not known.
+	Power float64
 	// LongestHold is the longest time for which keys may be granted.
 	LongestHold time.Duration
 	Clock       clock.Clock
 	Log         zerolog.Logger
 }
 
+// delay returns how long the process leaves the lead to others.
+func (o Options) delay() time.Duration {
+	if o.Power <= 0 {
+		return 0
+	}
+	return min(longestDelay, time.Duration(delayPower/o.Power*float64(time.Second)))
+}
+
 // record is the stored object.
 type record struct {
 	Leader leader.Record `json:"leader"`
--- a/internal/steer/talk.go
+++ b/internal/steer/talk.go
@@ -19,6 +19,8 @@
 	talkTimeout = parkTime + 400*time.Millisecond
 	// talkPause is the time between calls to a leader that did not answer.
 	talkPause = 200 * time.Millisecond
+	// offerPause is the time between calls to a leader that offers the lead.
+	offerPause = 100 * time.Millisecond
 	// talkDial bounds the opening of the connection to the leader.
 	talkDial = 300 * time.Millisecond
 	// rpcMethod is the name of the one remote method.
@@ -40,8 +42,10 @@
 	Have Versions
 	// Load is what the follower saw since its last call.
 	Load Load
-	// Claim is the version of the record that the follower has just read, where the leader said that
-	// it does not reach the store, else 0.
+	// Power is that of the follower's VM, see Options.
+	Power float64
+	// Claim is the version of the record that the follower has just read, where the leader offered the
+	// lead, else 0.
 	Claim uint64
 }
 
@@ -51,8 +55,10 @@
 	Leads     bool
 	Have      Versions
 	Processes int
-	// StoreAway reports that the leader does not reach the store.
+	// StoreAway reports that the leader does not reach the store and offers the lead to any follower
+	// that does. Yields offers it to this one, whose VM is stronger.
 	StoreAway bool
+	Yields    bool
 	// Ceded reports that the process does not lead any more, in favour of the follower.
 	Ceded bool
 	// ConfigAge and ServersAge are the times since the leader read them.
@@ -171,16 +177,27 @@
 			answer, err = f.call(client)
 		}
 		f.control.post(followed{sent: sent, answer: answer, err: err})
+		if err == nil && answer.Leads && !answer.StoreAway {
+			continue
+		}
 		if err == nil && answer.Leads {
+			// The leader answers at once while it offers the lead.
+			f.pause(offerPause)
 			continue
 		}
 		closeClient(client)
 		client = nil
-		select {
-		case <-time.After(talkPause):
-		case <-f.control.done:
-			return
-		}
+		f.pause(talkPause)
+	}
+}
+
+// pause waits, or until the process stops.
+func (f *follower) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.control.done:
 	}
 }
 
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -58,6 +58,9 @@
 	Run  string
 	// Lease is how long the leader leads after it sent a write of the record.
 	Lease time.Duration
+	// Delay is how much longer this candidate waits before it takes a lapsed lead over, so that others
+	// that are better suited come first.
+	Delay time.Duration
 }
 
 // Record is what the stored object says about the leader. A Holder of "" means that the last one
@@ -193,7 +196,7 @@
 func (c *Candidate) Step(now time.Time, e Event) []Action {
 	switch e := e.(type) {
 	case Seen:
-		c.reading, c.looked = false, false
+		c.reading = false
 		c.nextRead = now.Add(c.readEvery())
 		c.see(now, e)
 	case Missing:
@@ -236,13 +239,13 @@
 // miss handles the lack of a record. The first time it only waits a random time, after which another
 // candidate has mostly made the record.
 func (c *Candidate) miss(now time.Time) {
-	c.reading, c.looked, c.leads = false, false, false
+	c.reading, c.leads = false, false
 	c.record, c.version = Record{}, 0
 	c.nextRead = now.Add(readEvery)
 	c.known = c.missed
 	if !c.missed {
 		c.missed = true
-		c.nextRead = now.Add(time.Duration(c.random.Int64N(int64(firstJitter))))
+		c.nextRead = now.Add(c.config.Delay + time.Duration(c.random.Int64N(int64(firstJitter))))
 	}
 }
 
@@ -298,7 +301,7 @@
 	}
 	var actions []Action
 	if c.readDue(now) {
-		c.reading = true
+		c.reading, c.looked = true, false
 		actions = append(actions, Read{})
 	}
 	if c.known && !c.writing && !now.Before(c.nextTry) && c.mayWrite(now) {
@@ -336,7 +339,7 @@
 		// The holder has resigned, or is an earlier run on this VM, which has ended.
 		return true
 	}
-	return now.Sub(c.since) >= lease.DefaultMargin.Stretch(c.config.Lease)
+	return now.Sub(c.since) >= lease.DefaultMargin.Stretch(c.config.Lease)+c.config.Delay
 }
 
 func (c *Candidate) write(now time.Time) Action {
--- a/pkg/shard/decider.go
+++ b/pkg/shard/decider.go
@@ -21,6 +21,8 @@
 	renewals = 3
 	// retryEvery is the time between tries of an order that had no answer.
 	retryEvery = 300 * time.Millisecond
+	// silentFor is the time between tries of releases at a server that did not answer one.
+	silentFor = 600 * time.Millisecond
 	// suspectAfter is the number of orders without an answer in a row after which the owner is
 	// replaced.
 	suspectAfter = 3
@@ -61,6 +63,8 @@
 	rows    []*row
 	listed  bool
 	servers map[assign.ServerID]assign.Server
+	// silent are servers that did not answer a release, with the time of the next one.
+	silent map[assign.ServerID]time.Time
 	// suspects are servers that did not answer orders, with the end of the suspicion.
 	suspects map[assign.ServerID]time.Time
 	use      usage
@@ -238,7 +242,7 @@
 func (d *Decider) service(id assign.ServiceID) *service {
 	s := d.services[id]
 	if s == nil {
-		s = &service{id: id, next: 1, suspects: map[assign.ServerID]time.Time{}}
+		s = &service{id: id, next: 1, silent: map[assign.ServerID]time.Time{}, suspects: map[assign.ServerID]time.Time{}}
 		d.services[id] = s
 	}
 	return s
@@ -379,8 +383,10 @@
 	p.sending = false
 	if e.Outcome == Lost || e.Outcome == Fenced {
 		p.next = now.Add(retryEvery)
+		s.silent[p.Server] = now.Add(silentFor)
 		return
 	}
+	delete(s.silent, p.Server)
 	r.prior = slices.Delete(r.prior, i, i+1)
 	if e.Handover != "" {
 		r.handover = e.Handover
@@ -496,9 +502,13 @@
 func recall(now time.Time, s *service, r *row) []Action {
 	var actions []Action
 	for _, p := range r.prior {
-		if p.sending || now.Before(p.next) {
+		if p.sending || now.Before(p.next) || now.Before(s.silent[p.Server]) {
 			continue
 		}
+		if _, ok := s.silent[p.Server]; ok {
+			// One release tries whether the server answers again; the others follow it.
+			s.silent[p.Server] = now.Add(silentFor)
+		}
 		p.sending = true
 		actions = append(actions, Release{Service: s.id, Range: r.Range, Holder: p.Holder, Fence: r.Fence})
 	}
--- a/pkg/shard/plan.go
+++ b/pkg/shard/plan.go
@@ -16,20 +16,26 @@
 	imbalance = 1.3
 	// leastExcess is the load in requests a second above the mean below which no keys move.
 	leastExcess = 4.0
-	// maxMoves bounds the moves of one balancing.
-	maxMoves = 4
+	// leastMoves is the number of moves of one balancing, or one for every serversPerMove servers.
+	leastMoves     = 4
+	serversPerMove = 8
 	// settleTime is how long the list of servers must be the same before keys get their first owners.
 	settleTime = 1500 * time.Millisecond
-	// firstParts is the number of ranges that each server gets at first. Busy keys are close to one
-	// another, so one range a server would put them all on a few servers.
+	// firstRows is about the number of first ranges, at most firstParts a server. Busy keys are close
+	// to one another, so one range a server would put them all on a few of few servers.
+	firstRows  = 100
 	firstParts = 4
 	// evacuationParts is the number of parts that a row of a leaving server is moved in. Each part
 	// waits only for the work on its own keys.
 	evacuationParts = 4
-	// rowsPerServer bounds the rows of a service, each of which is renewed on its own.
-	rowsPerServer = 8
+	// rowsPerServer and moreRows bound the rows of a service, each of which is renewed on its own.
+	rowsPerServer = 2
+	moreRows      = 100
 )
 
+// maxRows returns the number of rows up to which rows are split.
+func maxRows(servers int) int { return rowsPerServer*servers + moreRows }
+
 // candidate is a server that may get keys.
 type candidate struct {
 	Holder
@@ -56,6 +62,7 @@
 		}
 		return
 	}
+	d.merge(s)
 	loads := s.use.prefix(now)
 	s.loadOf(candidates, loads)
 	d.evacuate(now, s, candidates, loads)
@@ -77,18 +84,19 @@
 	return list
 }
 
-// initial gives every server firstParts ranges of the keys, as wide as its power.
+// initial gives every server ranges of the keys, as wide as its power.
 func (d *Decider) initial(s *service, candidates []*candidate) {
+	parts := max(1, min(firstParts, firstRows/len(candidates)))
 	total := 0.0
 	for _, c := range candidates {
-		total += c.power * firstParts
+		total += c.power * float64(parts)
 	}
 	first, sum := 0, 0.0
-	for i := range firstParts * len(candidates) {
+	for i := range parts * len(candidates) {
 		c := candidates[i%len(candidates)]
 		sum += c.power
 		last := int(sum / total * (LastKey + 1))
-		if i == firstParts*len(candidates)-1 {
+		if i == parts*len(candidates)-1 {
 			last = LastKey + 1
 		}
 		if last <= first {
@@ -103,6 +111,35 @@
 	}
 }
 
+// merge joins neighbouring rows of one owner, which are then renewed as one. The higher of their
+// fencing numbers is above all that other servers had for the keys of both, since every row gets a
+// number above all earlier ones.
+func (d *Decider) merge(s *service) {
+	kept := s.rows[:0]
+	for _, r := range s.rows {
+		if n := len(kept); n > 0 && d.stable(kept[n-1]) && d.stable(r) && kept[n-1].Owner.same(r.Owner) &&
+			int(kept[n-1].Last)+1 == int(r.First) {
+			before := kept[n-1]
+			before.Last = r.Last
+			before.Fence = max(before.Fence, r.Fence)
+			before.until = later(before.until, r.until)
+			if r.next.Before(before.next) {
+				before.next = r.next
+			}
+			d.touch(before)
+			continue
+		}
+		kept = append(kept, r)
+	}
+	clear(s.rows[len(kept):])
+	s.rows = kept
+}
+
+// stable reports whether nothing is under way for a row.
+func (d *Decider) stable(r *row) bool {
+	return r.Open && !r.sending && r.failures == 0 && len(r.prior) == 0 && !d.staged(r)
+}
+
 func (s *service) loadOf(candidates []*candidate, loads prefix) {
 	byServer := map[assign.ServerID]*candidate{}
 	for _, c := range candidates {
@@ -123,7 +160,7 @@
 			continue
 		}
 		parts := evacuationParts
-		if len(s.rows) >= rowsPerServer*len(candidates) {
+		if len(s.rows) >= maxRows(len(candidates)) {
 			parts = 1
 		}
 		for _, k := range loads.split(r.Range, parts) {
@@ -154,8 +191,8 @@
 		power += c.power
 	}
 	mean := sum / power
-	for range maxMoves {
-		if len(s.rows) >= rowsPerServer*len(candidates) {
+	for range max(leastMoves, len(candidates)/serversPerMove) {
+		if len(s.rows) >= maxRows(len(candidates)) {
 			return
 		}
 		to := least(candidates)
