--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -119,6 +119,7 @@
 		DrainTime:     s.Bounds.DrainTime,
 		RetryShare:    s.Bounds.RetryShare,
 		RetryBurst:    s.Bounds.RetryBurst,
+		RetryWindow:   s.Bounds.RetryWindow,
 		Use:           p.control.Use,
 		Ran:           p.control.Ran,
 		Clock:         c,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -85,9 +85,11 @@
 	FailureDomain string
 	// DrainTime is how long a server that is leaving may still get requests.
 	DrainTime time.Duration
-	// RetryShare and RetryBurst bound the repeated requests to a service over all processes.
-	RetryShare float64
-	RetryBurst int
+	// RetryShare, RetryBurst and RetryWindow bound the repeated requests to a service over all
+	// processes: in each window a share of its requests, and the burst.
+	RetryShare  float64
+	RetryBurst  int
+	RetryWindow time.Duration
 	// Use is told the key of each request to a partitioned service.
 	Use func(service assign.ServiceID, key uint16)
 	// Ran is told the time of each request that the owner of its key ran.
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -25,7 +25,7 @@
 	// has a new burst.
 	burstShare = 0.6
 	// ratioShare is the part of the retry share that is used.
-	ratioShare = 0.8
+	ratioShare = 0.9
 	// serverDial bounds the opening of a connection to a server.
 	serverDial = 250 * time.Millisecond
 	// serverIdle is how long a connection to a server is kept unused.
@@ -44,7 +44,7 @@
 	set     *pick.Shared
 
 	mu       sync.Mutex
-	retries  *limit.Budget
+	retries  *limit.Quota
 	config   route.Service
 	backends map[assign.ServerID]*backend
 }
@@ -62,7 +62,7 @@
 		id:       id,
 		options:  o,
 		set:      pick.NewShared(pick.Config{FailureDomain: o.FailureDomain, Ramp: 4 * time.Second}, random),
-		retries:  limit.NewBudget(o.RetryShare*ratioShare, burst(o.RetryBurst, 0)),
+		retries:  limit.NewQuota(o.RetryShare*ratioShare, burst(o.RetryBurst, 0), o.RetryWindow),
 		backends: map[assign.ServerID]*backend{},
 	}
 }
@@ -131,14 +131,14 @@
 func (s *service) called() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.retries.Call()
+	s.retries.Call(s.options.Clock.Now())
 }
 
 // retry takes a token of the retry budget. It reports false where there is none.
 func (s *service) retry() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.retries.Take()
+	return s.retries.Take(s.options.Clock.Now())
 }
 
 func (s *service) partitioned() bool {
--- a/internal/steer/control.go
+++ b/internal/steer/control.go
@@ -63,6 +63,8 @@
 	have      Versions
 	published Versions
 	processes int
+	// leaderless reports that the last call to the leader failed.
+	leaderless bool
 	// ownList reports that a follower has read the servers itself since the leader's last news.
 	ownList bool
 	// claiming is since when the leader does not reach the store, the zero time where it does.
@@ -196,6 +198,7 @@
 	case configRead:
 		c.configRead(now, e)
 	case ordered:
+		c.logOrder(e.result)
 		c.decide(now, e.result)
 	case asked:
 		c.asked(now, e)
@@ -242,10 +245,15 @@
 
 // answered records whether the store answered.
 func (c *Control) answered(now time.Time, err error) {
-	if reached(err) {
+	switch {
+	case reached(err):
+		if !c.failing.IsZero() {
+			c.options.Log.Info().Dur("silent-ms", age(now, c.spoke)).Msg("store-back")
+		}
 		c.spoke = now
 		c.failing = time.Time{}
-	} else if c.failing.IsZero() {
+	case c.failing.IsZero():
+		c.options.Log.Warn().Err(err).Msg("store-away")
 		c.failing = now
 	}
 }
--- a/internal/steer/events.go
+++ b/internal/steer/events.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/samphiredrum/samphiredrum/internal/store"
-	"github.com/samphiredrum/samphiredrum/pkg/assign"
 	"github.com/samphiredrum/samphiredrum/pkg/leader"
 	"github.com/samphiredrum/samphiredrum/pkg/shard"
 )
@@ -62,12 +61,6 @@
 	err    error
 }
 
-// used are keys of requests that this process has seen.
-type used struct {
-	service assign.ServiceID
-	keys    []uint16
-}
-
 func (recordRead) event()    {}
 func (recordWritten) event() {}
 func (serversRead) event()   {}
@@ -75,4 +68,3 @@
 func (ordered) event()       {}
 func (asked) event()         {}
 func (followed) event()      {}
-func (used) event()          {}
--- a/internal/steer/lead.go
+++ b/internal/steer/lead.go
@@ -279,11 +279,16 @@
 		return
 	}
 	if e.err != nil || !e.answer.Leads || c.leads {
-		if e.err != nil && !c.leads {
-			c.options.Log.Warn().Err(e.err).Msg("leader-unreachable")
+		if e.err != nil && !c.leads && !c.leaderless {
+			c.leaderless = true
+			c.options.Log.Warn().Err(e.err).Str("leader", c.candidate.Holder()).Msg("leader-unreachable")
 		}
 		return
 	}
+	if c.leaderless {
+		c.leaderless = false
+		c.options.Log.Info().Str("leader", c.candidate.Holder()).Msg("leader-back")
+	}
 	a := e.answer
 	c.advance(now, leader.Alive{Candidates: a.Processes})
 	switch {
--- a/pkg/limit/budget.go
+++ b/pkg/limit/budget.go
@@ -25,12 +25,6 @@
 	return &Budget{share: share, burst: burst, tokens: burst}
 }
 
-// SetBurst changes the largest number of saved retries. Tokens above it are lost.
-func (b *Budget) SetBurst(burst float64) {
-	b.burst = burst
-	b.tokens = min(b.tokens, burst)
-}
-
 // Call counts a call that is not a retry.
 func (b *Budget) Call() { b.tokens = min(b.burst, b.tokens+b.share) }
 
--- a/pkg/shard/decider.go
+++ b/pkg/shard/decider.go
@@ -462,6 +462,7 @@
 	r.pending = now.Add(OrderTimeout + clockMargin.Stretch(hold))
 	return []Action{Grant{
 		Service: s.id, Range: r.Range, Owner: r.Owner, Fence: r.Fence, Hold: hold, Handover: r.handover,
+		Renewal: r.Open,
 	}}
 }
 
@@ -493,6 +494,7 @@
 		p.pending = now.Add(OrderTimeout + clockMargin.Stretch(hold))
 		return []Action{Grant{
 			Service: s.id, Range: r.Range, Owner: p.Holder, Fence: r.current.Fence, Hold: hold,
+			Renewal: true,
 		}}
 	}
 	return nil
--- a/pkg/shard/events.go
+++ b/pkg/shard/events.go
@@ -100,6 +100,8 @@
 	// Hold is the time from the arrival of the grant for which the server holds the keys.
 	Hold     time.Duration
 	Handover string
+	// Renewal reports that the owner has confirmed a grant of these keys before.
+	Renewal bool
 }
 
 // Release asks a server to give keys up.
