--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -62,6 +62,7 @@
 	relay    *relay.Relay
 	server   *relay.Server
 	sides    []*side
+	group    conc.WaitGroup
 	stopping chan struct{}
 }
 
@@ -152,8 +153,7 @@
 		server:   &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, Logger: quiet{}, ReadBufferSize: 4 << 10},
 	}
 	p.sides = append(p.sides, x)
-	var group conc.WaitGroup
-	group.Go(x.run)
+	p.group.Go(x.run)
 	return nil
 }
 
@@ -192,6 +192,9 @@
 		time.Sleep(stopPoll)
 	}
 	p.log.Info().Int("connections", p.server.Open()).Dur("took-ms", time.Since(began)).Msg("stopped")
+	for _, x := range p.sides {
+		x.listener.Close()
+	}
 	p.relay.Close()
 	p.keys.Close()
 	p.objects.Close()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -261,8 +261,9 @@
 	if trip.Wrote {
 		x.sends++
 	}
-	if err == nil && verdict.Encoded {
-		err = errEncoded
+	if err == nil {
+		err = flaw(x.response.StatusCode(), verdict)
+		x.lastError = err
 	}
 	if trip.Wrote && (err != nil || !verdict.NotRun) {
 		x.runs++
@@ -270,7 +271,21 @@
 	return verdict, err
 }
 
-var errEncoded = errors.New("the answer was encoded on the way")
+var (
+	errEncoded  = errors.New("the answer was encoded on the way")
+	errUnsigned = errors.New("no server vouches for the answer")
+)
+
+// flaw returns why an answer that was read whole is not the server's, nil where it is.
+func flaw(status int, v Verdict) error {
+	switch {
+	case v.Encoded:
+		return errEncoded
+	case !v.Signed && status >= 200 && status <= 299:
+		return errUnsigned
+	}
+	return nil
+}
 
 // settled fills the response where the request is to be answered now, and reports false where it
 // is to be sent again.
--- a/internal/relay/listen.go
+++ b/internal/relay/listen.go
@@ -290,9 +290,6 @@
 }
 
 func (h *handling) run() {
-	relay := h.conn.server.relay
-	relay.inFlight.Add(1)
-	defer relay.inFlight.Add(-1)
 	h.serve(h.ctx)
 	h.record()
 	if h.reason == ReasonGone {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,7 +18,6 @@
 import (
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -61,8 +60,6 @@
 	Signed bool
 	// Encoded reports that the body was changed on the way.
 	Encoded bool
-	// Leaving reports that the server closes the connection.
-	Leaving bool
 }
 
 // Messages reads and writes the header fields of requests and answers.
@@ -106,7 +103,6 @@
 	seen     *view.View
 	services map[assign.ServiceID]*service
 	splits   map[*route.Rule]*split
-	inFlight atomic.Int64
 }
 
 // New returns a Relay.
@@ -118,9 +114,6 @@
 	}
 }
 
-// InFlight returns the number of requests that are not answered yet.
-func (r *Relay) InFlight() int64 { return r.inFlight.Load() }
-
 // Ready reports whether the relay knows where to send requests.
 func (r *Relay) Ready() bool {
 	v := r.options.Board.Load()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -278,6 +278,8 @@
 		Entry("after an answer to another request", "/book/1", []answer{foreign}, 200, 1, "hello"),
 		Entry("with a body that ends with the connection", "/book/1", []answer{unmarked}, 200, 1, "hello"),
 		Entry("with an encoded body", "/book/1", []answer{whole(200, "Content-Encoding: gzip\r\n", "zip")}, 502, 1, ""),
+		Entry("with a success that no server vouches for", "/book/1", []answer{whole(200, "", "hello"), ok}, 502, 1, ""),
+		Entry("repeatable, with such a success first", "/history/1", []answer{whole(200, "", "other"), ok}, 200, 2, "hello"),
 	)
 
 	// A request whose route's time is over has its final answer, and its server was told the time.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -33,16 +33,6 @@
 	Changed <-chan struct{}
 }
 
-// Server returns a server of the service.
-func (v *View) Server(service assign.ServiceID, id assign.ServerID) (assign.Server, bool) {
-	for _, s := range v.Services[service] {
-		if s.ID == id {
-			return s, true
-		}
-	}
-	return assign.Server{}, false
-}
-
 // Board holds the latest View. It is safe for concurrent use; one goroutine publishes.
 type Board struct {
 	latest  atomic.Pointer[View]
