--- a/internal/steer/follow_test.go
+++ b/internal/steer/follow_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"context"
 	"io"
 	"net/netip"
 	"testing"
@@ -10,9 +11,11 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"github.com/samphiredrum/samphiredrum/internal/store"
 	"github.com/samphiredrum/samphiredrum/internal/view"
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 	"github.com/samphiredrum/samphiredrum/pkg/clock"
+	"github.com/samphiredrum/samphiredrum/pkg/leader"
 )
 
 func TestSteer(t *testing.T) {
@@ -37,6 +40,54 @@
 	return assign.Server{ID: assign.ServerID(id), Service: "yards", Draining: draining}
 }
 
+// deaf is a store that answers nothing.
+type deaf struct{ store.Objects }
+
+func (deaf) Get(context.Context, string) (store.Object, error) {
+	return store.Object{}, store.NewError(store.Down, store.Get, "", nil)
+}
+
+func (deaf) Put(context.Context, string, []byte, uint64) (uint64, error) {
+	return 0, store.NewError(store.Down, store.Put, "", nil)
+}
+
+func (deaf) List(context.Context, string) ([]store.Object, uint64, error) {
+	return nil, 0, store.NewError(store.Down, store.List, "", nil)
+}
+
+func (deaf) Watch(context.Context, string, uint64) ([]store.Change, uint64, error) {
+	return nil, 0, store.NewError(store.Down, store.Watch, "", nil)
+}
+
+var _ = Describe("a leader", func() {
+	// A process that led, followed another one and led again counted its versions anew under the same
+	// name. A follower that had been cut off meanwhile missed every change up to the number it knew:
+	// a server got requests 12 s after it had said that it leaves.
+	It("names its versions anew each time it takes the lead", func() {
+		c, clk := newFollower()
+		c.options.Objects = deaf{}
+		missing := recordRead{err: store.NewError(store.NotFound, store.Get, recordObject, nil)}
+		c.recordRead(clk.Now(), missing)
+		clk.Advance(2 * time.Second)
+		c.recordRead(clk.Now(), missing)
+		c.recordWritten(clk.Now(), recordWritten{record: leader.Record{Sequence: 1}, version: 5})
+		Expect(c.leads).To(BeTrue())
+		c.publish()
+		first := c.published.Run
+
+		clk.Advance(2 * leaseTime)
+		c.advance(clk.Now(), leader.Tick{})
+		Expect(c.leads).To(BeFalse())
+		value, err := record{Leader: leader.Record{Term: 1, Holder: "entry-1", Run: "an earlier run"}}.value()
+		Expect(err).NotTo(HaveOccurred())
+		c.recordRead(clk.Now(), recordRead{object: store.Object{Version: 6, Value: value}})
+		c.recordWritten(clk.Now(), recordWritten{record: leader.Record{Sequence: 2}, version: 7})
+		Expect(c.leads).To(BeTrue())
+		c.publish()
+		Expect(c.published.Run).NotTo(Equal(first))
+	})
+})
+
 var _ = Describe("a follower", func() {
 	var (
 		c     *Control
--- a/internal/steer/lead.go
+++ b/internal/steer/lead.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/samphiredrum/samphiredrum/internal/store"
@@ -43,7 +44,7 @@
 		return
 	}
 	c.options.Log.Info().Uint64("term", c.candidate.Term()).Msg("lead-taken")
-	c.have.Run = c.run
+	c.have.Run = reign(c.run, c.candidate.Term())
 	c.led = now
 	c.processes = 1
 	c.changes = newChanges()
@@ -53,6 +54,11 @@
 	c.relist(now)
 }
 
+// reign names one time in the lead of one run of a process. A process may lead, follow and lead again.
+func reign(run string, term uint64) string {
+	return run + "/" + strconv.FormatUint(term, 10)
+}
+
 // decide steps the decider and carries out its actions.
 func (c *Control) decide(now time.Time, e shard.Event) {
 	if !c.leads {
@@ -138,10 +144,10 @@
 	if !c.claiming.IsZero() {
 		c.claim.Store(e.object.Version)
 	}
-	if c.tables == nil || c.have.Run != r.Leader.Run {
+	if run := reign(r.Leader.Run, r.Leader.Term); c.tables == nil || c.have.Run != run {
 		// Until the leader answers, the stored tables are the best that is known.
 		c.tables = r.Services
-		c.have.Run, c.have.Tables = r.Leader.Run, 0
+		c.have.Run, c.have.Tables = run, 0
 		c.published = Versions{}
 	}
 	if r.Leader.Holder != "" && r.Leader.Run != c.run {
--- a/internal/steer/talk.go
+++ b/internal/steer/talk.go
@@ -27,7 +27,7 @@
 	rpcMethod = "Cell.Follow"
 )
 
-// Versions say which state a process has. They count within one run of the leader.
+// Versions say which state a process has. They count within one time in the lead, which Run names.
 type Versions struct {
 	Run     string
 	Config  uint64
--- a/pkg/shard/events.go
+++ b/pkg/shard/events.go
@@ -79,7 +79,7 @@
 	Done Outcome = iota
 	// Fenced is a grant that the server refused because it has seen a higher fencing number.
 	Fenced
-	// Ended is an order whose server has ended: nothing listens at its address, or another server.
+	// Ended is an order whose server has ended: another one has its address.
 	Ended
 	// Lost is an order without a usable answer. It may be carried out later.
 	Lost
