--- a/internal/steer/changes.go
+++ b/internal/steer/changes.go
@@ -12,8 +12,13 @@
 type changes struct {
 	servers map[assign.ServerID]assign.Server
 	version map[assign.ServerID]uint64
+	// floor is the version before which removed servers are not remembered any more.
+	floor uint64
 }
 
+// maxRemoved bounds the removed servers that are remembered.
+const maxRemoved = 500
+
 func newChanges() *changes {
 	return &changes{servers: map[assign.ServerID]assign.Server{}, version: map[assign.ServerID]uint64{}}
 }
@@ -33,8 +38,19 @@
 		}
 	}
 	c.servers = next
+	if len(c.version) > len(next)+maxRemoved {
+		c.floor = version
+		for id := range c.version {
+			if _, ok := next[id]; !ok {
+				delete(c.version, id)
+			}
+		}
+	}
 }
 
+// covers reports whether since tells everything that changed after a version.
+func (c *changes) covers(version uint64) bool { return version >= c.floor }
+
 // since returns the servers that changed and those that were removed after a version.
 func (c *changes) since(version uint64) (changed []assign.Server, removed []assign.ServerID) {
 	for id, v := range c.version {
--- a/internal/steer/lead.go
+++ b/internal/steer/lead.go
@@ -257,7 +257,7 @@
 		ServersAge: age(now, c.list.confirmed),
 	}
 	have := q.ask.Have
-	a.Whole = have.Run != c.published.Run
+	a.Whole = have.Run != c.published.Run || !c.changes.covers(have.Servers)
 	if a.Whole {
 		have = Versions{}
 	}
--- a/pkg/shard/decider.go
+++ b/pkg/shard/decider.go
@@ -265,6 +265,26 @@
 		for _, r := range s.rows {
 			s.forget(now, r)
 		}
+		s.forgetServers(now)
+	}
+}
+
+// forgetServers drops what was learned of servers that are not listed any more.
+func (s *service) forgetServers(now time.Time) {
+	for id := range s.pace.server {
+		if _, ok := s.servers[id]; !ok {
+			delete(s.pace.server, id)
+		}
+	}
+	for id, until := range s.suspects {
+		if !now.Before(until) {
+			delete(s.suspects, id)
+		}
+	}
+	for id, until := range s.silent {
+		if now.Sub(until) > suspectFor {
+			delete(s.silent, id)
+		}
 	}
 }
 
