--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -26,6 +26,10 @@
 	burstShare = 0.6
 	// ratioShare is the part of the retry share that is used.
 	ratioShare = 0.9
+	// localFactor is how much busier a server of the own failure domain may be than others.
+	localFactor = 5
+	// coldTime is the time over which the share of a new server rises.
+	coldTime = 4 * time.Second
 	// serverDial bounds the opening of a connection to a server.
 	serverDial = 250 * time.Millisecond
 	// serverIdle is how long a connection to a server is kept unused.
@@ -61,7 +65,7 @@
 	return &service{
 		id:       id,
 		options:  o,
-		set:      pick.NewShared(pick.Config{FailureDomain: o.FailureDomain, Ramp: 4 * time.Second}, random),
+		set:      pick.NewShared(pick.Config{FailureDomain: o.FailureDomain, Ramp: coldTime, Local: localFactor}, random),
 		retries:  limit.NewQuota(o.RetryShare*ratioShare, burst(o.RetryBurst, 0), o.RetryWindow),
 		backends: map[assign.ServerID]*backend{},
 	}
--- a/pkg/pick/pick_test.go
+++ b/pkg/pick/pick_test.go
@@ -96,6 +96,24 @@
 		Expect(id).To(BeElementOf(assign.ServerID("s1"), assign.ServerID("s3")))
 	})
 
+	// Where bytes between failure domains cost much, a busier server of the own one is still better.
+	It("stays in its failure domain for longer where it is told to", func() {
+		set = pick.New(pick.Config{FailureDomain: "fd-1", Local: 5}, rand.New(rand.NewPCG(1, 2)))
+		set.Update(now, list(4, "fd-1", "fd-2"))
+		for range 3 {
+			set.Start("s0")
+			set.Start("s2")
+		}
+		id, _ := set.Pick(now, "")
+		Expect(id).To(BeElementOf(assign.ServerID("s0"), assign.ServerID("s2")))
+		for range 3 {
+			set.Start("s0")
+			set.Start("s2")
+		}
+		id, _ = set.Pick(now, "")
+		Expect(id).To(BeElementOf(assign.ServerID("s1"), assign.ServerID("s3")))
+	})
+
 	It("prefers servers with fewer own calls in flight, and faster ones", func() {
 		set.Update(now, list(2, "fd-1"))
 		set.Start("s0")
--- a/pkg/pick/server.go
+++ b/pkg/pick/server.go
@@ -14,9 +14,9 @@
 	defaultEject   = 5 * time.Second
 	defaultPenalty = time.Second
 
-	// localFactor is how much busier a server of this failure domain may be than the best of two
-	// others. One call in flight more, at a server that is nearly idle, is a factor of 2.
-	localFactor = 5
+	// defaultLocal allows one call in flight more at a server that is nearly idle, a factor of 2, to
+	// go to another failure domain.
+	defaultLocal = 1.5
 	// evenFactor is the ratio of scores below which the reported load decides.
 	evenFactor = 1.05
 	// leastRamp is the share of a server that has just started. With none at all it would never be
