--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"iter"
 	"math"
 	"strconv"
 	"time"
@@ -124,12 +126,8 @@
 
 // path returns the path of a request target, without the query.
 func path(uri []byte) string {
-	for i, b := range uri {
-		if b == '?' {
-			return string(uri[:i])
-		}
-	}
-	return string(uri)
+	before, _, _ := bytes.Cut(uri, []byte{'?'})
+	return string(before)
 }
 
 // wait returns how long the request may take.
@@ -147,19 +145,24 @@
 // strip removes the header fields that concern only the caller's connection.
 func (x *exchange) strip() {
 	h := &x.request.Header
-	var fields []string
-	for k := range h.All() {
-		if x.relay.options.Messages.ConnectionField(k) {
-			fields = append(fields, string(k))
-		}
-	}
-	for _, f := range fields {
+	for _, f := range x.connectionFields(h.All()) {
 		h.Del(f)
 	}
 	h.ResetConnectionClose()
 	h.SetNoDefaultContentType(true)
 }
 
+// connectionFields returns the names of the header fields that concern one connection only.
+func (x *exchange) connectionFields(header iter.Seq2[[]byte, []byte]) []string {
+	var names []string
+	for name := range header {
+		if x.relay.options.Messages.ConnectionField(name) {
+			names = append(names, string(name))
+		}
+	}
+	return names
+}
+
 // serveAny sends the request to a server of a service without owners.
 func (x *exchange) serveAny(ctx context.Context) {
 	for {
@@ -332,13 +335,7 @@
 // deliver prepares the server's answer for the caller.
 func (x *exchange) deliver() {
 	h := &x.response.Header
-	var fields []string
-	for k := range h.All() {
-		if x.relay.options.Messages.ConnectionField(k) {
-			fields = append(fields, string(k))
-		}
-	}
-	for _, f := range fields {
+	for _, f := range x.connectionFields(h.All()) {
 		h.Del(f)
 	}
 	h.ResetConnectionClose()
--- a/pkg/shard/plan.go
+++ b/pkg/shard/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -223,7 +224,7 @@
 			continue
 		}
 		k := loads.closest(r.Range, wanted)
-		if off := abs(loads.of(k) - wanted); !found || off < distance {
+		if off := math.Abs(loads.of(k) - wanted); !found || off < distance {
 			best, found, distance = k, true, off
 		}
 	}
@@ -233,8 +234,6 @@
 	return best, found && load < from.load*0.9 && (load >= wanted/2 || from.load == 0)
 }
 
-func abs(f float64) float64 { return max(f, -f) }
-
 // move gives the keys of the range, which lie in one row, to another server.
 func (d *Decider) move(now time.Time, s *service, k Range, to Holder) {
 	i := slices.IndexFunc(s.rows, func(r *row) bool { return r.Contains(k.First) })
