entry, stand: A cancelled call that never arrived is in flight no more

The server answered unknown to the cancellation of a call that had not reached it, so the call counted as in flight for ever and its span of a server of fencing kind none stayed closed. Change: a server that does not know a cancelled call refuses it from then on, and the entry process counts such a call as ended. Two tests, both red before.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -103,7 +103,7 @@
 type CancelOutcome int
 
 const (
-	// CancelUnknown means that the server does not know the call. It may still arrive there.
+	// CancelUnknown means that the server does not know the call, and refuses it from now on.
 	CancelUnknown CancelOutcome = iota
 	// CancelNotRun means that the call was waiting and will not run.
 	CancelNotRun
--- a/internal/back/control_test.go
+++ b/internal/back/control_test.go
@@ -142,6 +142,17 @@
 		Expect(client.Cancel(ctx, "done")).To(Equal(back.CancelFinished))
 		Expect(outcomes(server)).To(Equal(map[string]string{"runs": stand.RunCancelled, "done": stand.RunFinished}))
 	})
+
+	// Guards against a call that runs after its keys have gone to another server: it was given up on
+	// its way, and the server was asked about it before it arrived.
+	It("to cancel keep a call from running that arrives later", func() {
+		server, client := pair(stand.BackendOptions{Fencing: assign.None}, back.Options{})
+		ctx := within(5 * time.Second)
+		Expect(client.Cancel(ctx, "late")).To(Equal(back.CancelUnknown))
+		_, err := client.Send(ctx, work("late", 1))
+		Expect(back.KindOf(err)).To(Equal(back.NotRun))
+		Expect(outcomes(server)).To(BeEmpty())
+	})
 })
 
 var _ = Describe("the time that is sent", func() {
--- a/internal/entry/retry_test.go
+++ b/internal/entry/retry_test.go
@@ -72,6 +72,15 @@
 		Expect(result.Outcome).To(Equal(entry.OutcomeUnknown))
 	}, NodeTimeout(20*time.Second))
 
+	// Guards against keys that stay closed for ever, because a call that never reached their server
+	// counts as in flight there.
+	It("are not in flight at a server that does not know them", func(ctx context.Context) {
+		cut, refused := errorsOf(ctx)
+		router, call := serving(&dying{first: cut, later: refused})
+		router.Handle(ctx, call)
+		Expect(router.View().Services["yards/ledger"].Members["ledger-1"].Pending()).To(BeZero())
+	}, NodeTimeout(20*time.Second))
+
 	// Guards against a refused call that is told as one that may have run.
 	It("leave a call that no server took as not run", func(ctx context.Context) {
 		_, refused := errorsOf(ctx)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -191,9 +191,9 @@
 		return false
 	}
 	switch outcome {
-	case back.CancelNotRun, back.CancelCancelled, back.CancelFinished:
+	case back.CancelUnknown, back.CancelNotRun, back.CancelCancelled, back.CancelFinished:
 		return true
-	case back.CancelUnknown, back.CancelRunning:
+	case back.CancelRunning:
 		return false
 	}
 	return false
--- a/internal/stand/backend.go
+++ b/internal/stand/backend.go
@@ -97,6 +97,8 @@
 	grants   grants
 	jobs     map[*job]struct{}
 	finished map[string]string
+	// recalled are the calls that were cancelled before they arrived.
+	recalled map[string]struct{}
 	queue    []*job
 	busy     int
 	conns    map[net.Conn]struct{}
@@ -110,6 +112,7 @@
 		history:  &history{},
 		jobs:     map[*job]struct{}{},
 		finished: map[string]string{},
+		recalled: map[string]struct{}{},
 		conns:    map[net.Conn]struct{}{},
 	}
 	b.ended = sync.NewCond(&b.mu)
--- a/internal/stand/job.go
+++ b/internal/stand/job.go
@@ -70,6 +70,9 @@
 	if b.draining {
 		return reasonDraining
 	}
+	if _, ok := b.recalled[j.id]; ok {
+		return reasonDeadline
+	}
 	if reason := b.refusal(j); reason != "" {
 		return reason
 	}
@@ -186,7 +189,8 @@
 	b.ended.Broadcast()
 }
 
-// cancel gives up a job by its identifier and returns what became of it.
+// cancel gives up a job by its identifier and returns what became of it. One that has not arrived
+// is refused when it does.
 func (b *Backend) cancel(id string) string {
 	b.lock()
 	defer b.mu.Unlock()
@@ -198,6 +202,7 @@
 	if outcome, ok := b.finished[id]; ok {
 		return outcome
 	}
+	b.recalled[id] = struct{}{}
 	return "unknown"
 }
 
