steer: Take over the whole list that was asked for, though its call was faster

A follower that had been cut off read the servers itself, took the leader's next change on top of them and asked for the whole list. The time of the leader's reading is computed from the times of the call, and for the same reading it came out a little earlier half of the time; the whole list was then dropped as older, and a server that had gone stayed in use until chance decided otherwise. Change: a reading counts as older only if it is so by more than the jitter of a call. Test in follow_test.go, red before.

--- a/internal/steer/follow_test.go
+++ b/internal/steer/follow_test.go
@@ -133,6 +133,26 @@
 		Expect(*c.known.Load()).To(Equal(Versions{}))
 	})
 
+	// The time of the leader's reading is computed from the times of a call, whose way varies. After a
+	// change on top of its own list, a follower dropped the whole list that it then asked for, in turn
+	// and again, and kept a server that had gone for 12 s.
+	It("takes over the whole list that it asked for, though the call took less time than the one before", func() {
+		own := begun.Add(2 * time.Second)
+		c.list.confirmed, c.ownList = own, true
+		c.list.directory.Replace([]assign.Server{named("s-1", false), named("s-gone", false)})
+		next := own.Add(700 * time.Millisecond)
+		c.followed(next, followed{sent: next, answer: Answer{
+			Leads: true, Listed: true, Have: Versions{Run: "a", Servers: 8},
+			Servers: []assign.Server{named("s-2", false)},
+		}})
+		Expect(*c.known.Load()).To(Equal(Versions{}))
+		c.followed(next, followed{sent: next.Add(-time.Millisecond), answer: Answer{
+			Leads: true, Whole: true, Listed: true, Have: Versions{Run: "a", Servers: 8},
+			Servers: []assign.Server{named("s-1", false), named("s-2", false)},
+		}})
+		Expect(c.list.directory.Servers()).To(Equal([]assign.Server{named("s-1", false), named("s-2", false)}))
+	})
+
 	// A leader that has just taken over may know less than its predecessor told.
 	It("does not take over an older list from another leader", func() {
 		c.list.directory.Replace([]assign.Server{named("s-1", true), named("s-2", false)})
--- a/internal/steer/lead.go
+++ b/internal/steer/lead.go
@@ -338,7 +338,7 @@
 // them from a later reading. It reports whether the leader should send all of them next time, because
 // its changes lead to a list that this process does not have.
 func (c *Control) takeServers(at time.Time, a Answer) bool {
-	older := c.list.confirmed.After(at)
+	older := c.list.confirmed.Sub(at) > callJitter
 	if older && (c.ownList || a.Whole) {
 		c.ownList = true
 		return false
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -77,6 +77,9 @@
 	writeTimeout = 500 * time.Millisecond
 	// awayAfter is the time without an answer after which the store counts as away.
 	awayAfter = 900 * time.Millisecond
+	// callJitter is how much earlier than it was a reading of the leader may seem to a follower, which
+	// computes its time from those of the call.
+	callJitter = 200 * time.Millisecond
 	// parkTime is how long the leader keeps a follower's call open when nothing changes.
 	parkTime = 500 * time.Millisecond
 	// followerAge is how long ago a follower may have called to be counted.
