steer: Find a new leader through other followers; let the strongest claim the lead

The lead went to a VM with 0.16 of a core, which lost it twice under the work. Change: a process that does not lead names the one that it follows, a leader that cedes names its successor, and followers know up to 8 others to ask when the leader does not answer. Only the followers whose VMs are among the strongest claim the lead of a leader without the store.

--- a/internal/steer/control.go
+++ b/internal/steer/control.go
@@ -70,11 +70,19 @@
 	// claiming is since when the leader does not reach the store, the zero time where it does.
 	claiming  time.Time
 	parked    []asked
-	followers map[netip.AddrPort]time.Time
+	followers map[netip.AddrPort]followerState
+	// following is the process that leads as far as this one knows, the zero value where it knows none.
+	following netip.AddrPort
 	changes   *changes
 	stopping  bool
 }
 
+// followerState is what the leader knows of a follower.
+type followerState struct {
+	called time.Time
+	power  float64
+}
+
 // configState is what is known of the configuration.
 type configState struct {
 	object store.Object
@@ -120,7 +128,7 @@
 		list:      listState{directory: disco.New()},
 		tally:     newTally(),
 		changes:   newChanges(),
-		followers: map[netip.AddrPort]time.Time{},
+		followers: map[netip.AddrPort]followerState{},
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.candidate = leader.New(leader.Config{Name: o.Name, Run: c.run, Lease: leaseTime, Delay: o.delay()}, rand.New(rand.NewPCG(run, rand.Uint64())))
--- a/internal/steer/events.go
+++ b/internal/steer/events.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/samphiredrum/samphiredrum/internal/store"
@@ -56,7 +57,9 @@
 
 // followed is the end of a call to the leader.
 type followed struct {
-	sent   time.Time
+	sent time.Time
+	// from is the process that was called.
+	from   netip.AddrPort
 	answer Answer
 	err    error
 }
--- a/internal/steer/lead.go
+++ b/internal/steer/lead.go
@@ -157,6 +157,7 @@
 
 // target sets the process to follow.
 func (c *Control) target(address netip.AddrPort) {
+	c.following = address
 	select {
 	case <-c.follow.target:
 	default:
@@ -168,7 +169,7 @@
 // kept until something changes.
 func (c *Control) asked(now time.Time, a asked) {
 	if c.leads {
-		c.followers[a.ask.From] = now
+		c.followers[a.ask.From] = followerState{called: now, power: a.ask.Power}
 		c.weigh(now, a.ask.Load)
 		if c.cede(now, a) {
 			return
@@ -197,6 +198,7 @@
 		return false
 	}
 	c.options.Log.Info().Stringer("to", a.ask.From).Dur("silent-ms", age(now, c.spoke)).Msg("lead-ceded")
+	c.following = a.ask.From
 	c.advance(now, leader.Cede{})
 	a.answer <- Answer{Ceded: true}
 	return true
@@ -238,11 +240,11 @@
 // answer returns what the follower lacks.
 func (c *Control) answer(now time.Time, q asked) Answer {
 	if !c.leads {
-		return Answer{}
+		return Answer{Leader: c.following}
 	}
-	for f, at := range c.followers {
-		if age(now, at) > followerAge {
-			delete(c.followers, f)
+	for address, f := range c.followers {
+		if age(now, f.called) > followerAge {
+			delete(c.followers, address)
 		}
 	}
 	c.processes = 1 + len(c.followers)
@@ -256,6 +258,12 @@
 		ConfigAge:  age(now, c.config.confirmed),
 		ServersAge: age(now, c.list.confirmed),
 	}
+	if a.StoreAway {
+		a.Rank = c.rank(q.ask.Power)
+	}
+	if q.ask.Peers < min(knownPeers, len(c.followers)-1) {
+		a.Peers = c.peers(q.ask.From)
+	}
 	have := q.ask.Have
 	a.Whole = have.Run != c.published.Run || !c.changes.covers(have.Servers)
 	if a.Whole {
@@ -272,9 +280,26 @@
 	return a
 }
 
-// ask returns the call of this process to the leader. It is called by the follower's goroutine.
-func (c *Control) ask() Ask {
-	return Ask{From: c.options.Address, Have: *c.known.Load(), Load: c.tally.take(), Power: c.options.Power, Claim: c.claim.Swap(0)}
+// rank returns the number of followers whose VMs have at least the given power.
+func (c *Control) rank(power float64) int {
+	count := 0
+	for _, f := range c.followers {
+		if f.power >= power {
+			count++
+		}
+	}
+	return count
+}
+
+// peers returns some of the followers but the given one.
+func (c *Control) peers(but netip.AddrPort) []netip.AddrPort {
+	var list []netip.AddrPort
+	for address := range c.followers {
+		if address != but && len(list) < knownPeers {
+			list = append(list, address)
+		}
+	}
+	return list
 }
 
 // followed handles the leader's answer.
@@ -296,6 +321,7 @@
 		c.options.Log.Info().Str("leader", c.candidate.Holder()).Msg("leader-back")
 	}
 	a := e.answer
+	c.following = e.from
 	c.advance(now, leader.Alive{Candidates: a.Processes})
 	switch {
 	case !a.StoreAway && !a.Yields:
@@ -303,7 +329,7 @@
 	case c.claiming.IsZero():
 		c.claiming = now
 	}
-	if a.Yields || a.StoreAway && age(now, c.claiming) >= c.options.delay() && rand.IntN(max(1, a.Processes)) < claimants {
+	if a.Yields || a.StoreAway && age(now, c.claiming) >= c.options.delay() && rand.IntN(max(1, a.Rank)) < claimants {
 		c.advance(now, leader.Look{})
 	}
 	if confirmed := e.sent.Add(a.Parked - a.ConfigAge); c.config.confirmed.Before(confirmed) {
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -59,8 +59,11 @@
 	// process waits before it takes the lead, at most longestDelay.
 	delayPower   = 0.05
 	longestDelay = 400 * time.Millisecond
-	// claimants is the number of followers that look for the store in place of a leader without it.
+	// claimants is the number of followers that look for the store in place of a leader without it,
+	// of those on the strongest VMs.
 	claimants = 6
+	// knownPeers is the number of other followers that a follower knows.
+	knownPeers = 8
 	// yieldRatio is how many times stronger another VM must be for the leader to yield to it, after
 	// yieldAfter in the lead.
 	yieldRatio = 1.9
--- a/internal/steer/talk.go
+++ b/internal/steer/talk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"net/rpc"
@@ -47,18 +48,27 @@
 	// Claim is the version of the record that the follower has just read, where the leader offered the
 	// lead, else 0.
 	Claim uint64
+	// Peers is the number of other followers that the follower knows.
+	Peers int
 }
 
 // Answer is the leader's answer. Parts that the follower has are left out.
 type Answer struct {
 	// Leads is false where the process does not lead.
-	Leads     bool
+	Leads bool
+	// Leader is the process that one follows which does not lead, the zero value where it knows none.
+	Leader netip.AddrPort
+	// Peers are some of the followers, which a follower asks for the leader when this one is lost.
+	Peers     []netip.AddrPort
 	Have      Versions
 	Processes int
 	// StoreAway reports that the leader does not reach the store and offers the lead to any follower
 	// that does. Yields offers it to this one, whose VM is stronger.
 	StoreAway bool
 	Yields    bool
+	// Rank is the number of followers whose VMs are at least as strong as that of this one, while
+	// StoreAway is set.
+	Rank int
 	// Ceded reports that the process does not lead any more, in favour of the follower.
 	Ceded bool
 	// ConfigAge and ServersAge are the times since the leader read them.
@@ -142,6 +152,10 @@
 	control *Control
 	// target receives the leader's address, the zero value where there is none to follow.
 	target chan netip.AddrPort
+	// failed is the last process that did not answer or did not lead.
+	failed netip.AddrPort
+	// peers are other followers of the last leader.
+	peers []netip.AddrPort
 }
 
 func (f *follower) run() {
@@ -176,7 +190,10 @@
 		if err == nil {
 			answer, err = f.call(client)
 		}
-		f.control.post(followed{sent: sent, answer: answer, err: err})
+		if len(answer.Peers) > 0 {
+			f.peers = answer.Peers
+		}
+		f.control.post(followed{sent: sent, from: address, answer: answer, err: err})
 		if err == nil && answer.Leads && !answer.StoreAway {
 			continue
 		}
@@ -187,8 +204,27 @@
 		}
 		closeClient(client)
 		client = nil
-		f.pause(talkPause)
+		next := nextTarget(address, f.control.options.Address, answer.Leader, f.peers)
+		if next != answer.Leader || next == f.failed {
+			f.pause(talkPause)
+		}
+		f.failed, address = address, next
+	}
+}
+
+// nextTarget returns the process to ask after one that did not answer or does not lead: the leader
+// that it named, or any other process, which may know the leader. A process that the store refuses
+// finds a new leader only so.
+func nextTarget(asked, self, leader netip.AddrPort, peers []netip.AddrPort) netip.AddrPort {
+	if leader.IsValid() && leader != self && leader != asked {
+		return leader
 	}
+	for _, i := range rand.Perm(len(peers)) {
+		if peers[i] != self && peers[i] != asked {
+			return peers[i]
+		}
+	}
+	return asked
 }
 
 // pause waits, or until the process stops.
@@ -215,9 +251,18 @@
 	return rpc.NewClient(n), nil
 }
 
+// ask returns the call of this process to the leader.
+func (f *follower) ask() Ask {
+	c := f.control
+	return Ask{
+		From: c.options.Address, Have: *c.known.Load(), Load: c.tally.take(), Power: c.options.Power,
+		Claim: c.claim.Swap(0), Peers: len(f.peers),
+	}
+}
+
 func (f *follower) call(client *rpc.Client) (Answer, error) {
 	var answer Answer
-	done := client.Go(rpcMethod, f.control.ask(), &answer, make(chan *rpc.Call, 1)).Done
+	done := client.Go(rpcMethod, f.ask(), &answer, make(chan *rpc.Call, 1)).Done
 	timer := time.NewTimer(talkTimeout)
 	defer timer.Stop()
 	select {
