--- a/internal/steer/control.go
+++ b/internal/steer/control.go
@@ -74,7 +74,13 @@
 	// following is the process that leads as far as this one knows, the zero value where it knows none.
 	following netip.AddrPort
 	changes   *changes
-	stopping  bool
+	// told is when a follower last got a change.
+	told   time.Time
+	packer *packer
+	// packedNews are the news for followers with given versions, while packedFor is published.
+	packedNews map[Versions][]byte
+	packedFor  Versions
+	stopping   bool
 }
 
 // followerState is what the leader knows of a follower.
@@ -120,15 +126,17 @@
 func newControl(o Options) *Control {
 	run := rand.Uint64()
 	c := &Control{
-		options:   o,
-		events:    make(chan event, queueLength),
-		done:      make(chan struct{}),
-		stop:      make(chan struct{}),
-		run:       strconv.FormatUint(run, 36),
-		list:      listState{directory: disco.New()},
-		tally:     newTally(),
-		changes:   newChanges(),
-		followers: map[netip.AddrPort]followerState{},
+		options:    o,
+		events:     make(chan event, queueLength),
+		done:       make(chan struct{}),
+		stop:       make(chan struct{}),
+		run:        strconv.FormatUint(run, 36),
+		list:       listState{directory: disco.New()},
+		tally:      newTally(),
+		changes:    newChanges(),
+		followers:  map[netip.AddrPort]followerState{},
+		packer:     newPacker(),
+		packedNews: map[Versions][]byte{},
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.candidate = leader.New(leader.Config{Name: o.Name, Run: c.run, Lease: leaseTime, Delay: o.delay()}, rand.New(rand.NewPCG(run, rand.Uint64())))
@@ -298,7 +306,7 @@
 	if c.config.parsed != nil && parsed.Version <= c.config.parsed.Version {
 		return
 	}
-	c.config.object, c.config.parsed, c.config.packed = o, parsed, pack(o.Value)
+	c.config.object, c.config.parsed, c.config.packed = o, parsed, c.packer.pack(o.Value)
 	c.have.Config++
 	c.options.Log.Info().Uint64("version", parsed.Version).Uint64("revision", o.Version).Msg("config-in-force")
 	c.relist(now)
--- a/internal/steer/events.go
+++ b/internal/steer/events.go
@@ -61,6 +61,7 @@
 	// from is the process that was called.
 	from   netip.AddrPort
 	answer Answer
+	news   news
 	err    error
 }
 
--- a/internal/steer/follow_test.go
+++ b/internal/steer/follow_test.go
@@ -98,20 +98,22 @@
 		c, clk = newFollower()
 		clk.Advance(10 * time.Second)
 		begun = clk.Now()
-		c.followed(begun, followed{sent: begun, answer: Answer{
-			Leads: true, Whole: true, Listed: true, Have: Versions{Run: "a", Servers: 1},
-			Servers: []assign.Server{named("s-1", false), named("s-2", false)},
-		}})
+		c.followed(begun, followed{
+			sent: begun,
+			answer: Answer{Leads: true, Have: Versions{Run: "a", Servers: 1}},
+			news: news{Whole: true, Listed: true, Servers: []assign.Server{named("s-1", false), named("s-2", false)}},
+		})
 	})
 
 	// A change that comes with a call whose way to the leader was slow seems older than the list
 	// before it. It was dropped, and the server got requests 12 s after it had said that it leaves.
 	It("takes over a change that a slow call brings", func() {
 		late := begun.Add(time.Second)
-		c.followed(late, followed{sent: begun.Add(-time.Millisecond), answer: Answer{
-			Leads: true, Listed: true, Have: Versions{Run: "a", Servers: 2},
-			Servers: []assign.Server{named("s-2", true)},
-		}})
+		c.followed(late, followed{
+			sent: begun.Add(-time.Millisecond),
+			answer: Answer{Leads: true, Have: Versions{Run: "a", Servers: 2}},
+			news: news{Listed: true, Servers: []assign.Server{named("s-2", true)}},
+		})
 		Expect(c.list.directory.Servers()).To(Equal([]assign.Server{named("s-1", false), named("s-2", true)}))
 	})
 
@@ -120,16 +122,18 @@
 		own := begun.Add(2 * time.Second)
 		c.list.confirmed, c.ownList = own, true
 		c.list.directory.Replace([]assign.Server{named("s-1", true)})
-		c.followed(own, followed{sent: own, answer: Answer{
-			Leads: true, Listed: true, Have: Versions{Run: "a", Servers: 2}, ServersAge: time.Second,
-			Servers: []assign.Server{named("s-2", true)},
-		}})
+		c.followed(own, followed{
+			sent: own,
+			answer: Answer{Leads: true, Have: Versions{Run: "a", Servers: 2}, ServersAge: time.Second},
+			news: news{Listed: true, Servers: []assign.Server{named("s-2", true)}},
+		})
 		Expect(c.list.directory.Servers()).To(Equal([]assign.Server{named("s-1", true)}))
 
-		c.followed(own.Add(time.Second), followed{sent: own.Add(time.Second), answer: Answer{
-			Leads: true, Listed: true, Have: Versions{Run: "a", Servers: 3},
-			Servers: []assign.Server{named("s-3", false)},
-		}})
+		c.followed(own.Add(time.Second), followed{
+			sent: own.Add(time.Second),
+			answer: Answer{Leads: true, Have: Versions{Run: "a", Servers: 3}},
+			news: news{Listed: true, Servers: []assign.Server{named("s-3", false)}},
+		})
 		Expect(*c.known.Load()).To(Equal(Versions{}))
 	})
 
@@ -141,15 +145,17 @@
 		c.list.confirmed, c.ownList = own, true
 		c.list.directory.Replace([]assign.Server{named("s-1", false), named("s-gone", false)})
 		next := own.Add(700 * time.Millisecond)
-		c.followed(next, followed{sent: next, answer: Answer{
-			Leads: true, Listed: true, Have: Versions{Run: "a", Servers: 8},
-			Servers: []assign.Server{named("s-2", false)},
-		}})
+		c.followed(next, followed{
+			sent: next,
+			answer: Answer{Leads: true, Have: Versions{Run: "a", Servers: 8}},
+			news: news{Listed: true, Servers: []assign.Server{named("s-2", false)}},
+		})
 		Expect(*c.known.Load()).To(Equal(Versions{}))
-		c.followed(next, followed{sent: next.Add(-time.Millisecond), answer: Answer{
-			Leads: true, Whole: true, Listed: true, Have: Versions{Run: "a", Servers: 8},
-			Servers: []assign.Server{named("s-1", false), named("s-2", false)},
-		}})
+		c.followed(next, followed{
+			sent: next.Add(-time.Millisecond),
+			answer: Answer{Leads: true, Have: Versions{Run: "a", Servers: 8}},
+			news: news{Whole: true, Listed: true, Servers: []assign.Server{named("s-1", false), named("s-2", false)}},
+		})
 		Expect(c.list.directory.Servers()).To(Equal([]assign.Server{named("s-1", false), named("s-2", false)}))
 	})
 
@@ -157,16 +163,19 @@
 	It("does not take over an older list from another leader", func() {
 		c.list.directory.Replace([]assign.Server{named("s-1", true), named("s-2", false)})
 		next := begun.Add(300 * time.Millisecond)
-		c.followed(next, followed{sent: next, answer: Answer{
-			Leads: true, Whole: true, Listed: true, Have: Versions{Run: "b", Servers: 7}, ServersAge: time.Second,
-			Servers: []assign.Server{named("s-1", false), named("s-2", false)},
-		}})
+		c.followed(next, followed{
+			sent: next,
+			answer: Answer{Leads: true, Have: Versions{Run: "b", Servers: 7}, ServersAge: time.Second},
+			news: news{Whole: true, Listed: true, Servers: []assign.Server{named("s-1", false), named("s-2", false)}},
+		})
 		Expect(c.list.directory.Servers()).To(Equal([]assign.Server{named("s-1", true), named("s-2", false)}))
 
 		later := begun.Add(time.Second)
-		c.followed(later, followed{sent: later, answer: Answer{
-			Leads: true, Listed: true, Have: Versions{Run: "b", Servers: 7},
-		}})
+		c.followed(later, followed{
+			sent: later,
+			answer: Answer{Leads: true, Have: Versions{Run: "b", Servers: 7}},
+			news: news{Listed: true},
+		})
 		Expect(*c.known.Load()).To(Equal(Versions{}))
 	})
 })
--- a/internal/steer/lead.go
+++ b/internal/steer/lead.go
@@ -217,11 +217,16 @@
 // answerParked answers the calls that have waited long enough or lack something.
 func (c *Control) answerParked(now time.Time) {
 	kept := c.parked[:0]
+	due := age(now, c.told) >= time.Duration(len(c.followers))*tellShare
 	for _, a := range c.parked {
-		if c.leads && a.ask.Have == c.published && age(now, a.since) < c.parkTime(now) {
+		lacks := a.ask.Have != c.published
+		if c.leads && (!lacks || !due) && age(now, a.since) < c.parkTime(now) {
 			kept = append(kept, a)
 			continue
 		}
+		if lacks {
+			c.told = now
+		}
 		a.answer <- c.answer(now, a)
 	}
 	clear(c.parked[len(kept):])
@@ -264,22 +269,46 @@
 	if q.ask.Peers < min(knownPeers, len(c.followers)-1) {
 		a.Peers = c.peers(q.ask.From)
 	}
-	have := q.ask.Have
-	a.Whole = have.Run != c.published.Run || !c.changes.covers(have.Servers)
-	if a.Whole {
-		have = Versions{}
-	}
-	if have.Config != c.published.Config {
+	if q.ask.Have.Run != c.published.Run || q.ask.Have.Config != c.published.Config {
 		a.Config, a.ConfigRevision = c.config.packed, c.config.object.Version
 	}
-	a.Listed = c.list.directory.Known()
-	a.Servers, a.Removed = c.changes.since(have.Servers)
-	if have.Tables != c.published.Tables {
-		a.Rows = c.decider.Since(have.Tables)
-	}
+	a.News = c.newsSince(q.ask.Have)
 	return a
 }
 
+// newsSince returns the packed news for a follower with the given versions. Most followers have the same
+// ones, so that they are packed once.
+func (c *Control) newsSince(have Versions) []byte {
+	if c.packedFor != c.published {
+		clear(c.packedNews)
+		c.packedFor = c.published
+	}
+	if packed, ok := c.packedNews[have]; ok {
+		return packed
+	}
+	n := news{
+		Whole:  have.Run != c.published.Run || !c.changes.covers(have.Servers),
+		Listed: c.list.directory.Known(),
+	}
+	since := have
+	if n.Whole {
+		since = Versions{}
+	}
+	n.Servers, n.Removed = c.changes.since(since.Servers)
+	if since.Tables != c.published.Tables {
+		n.Rows = c.decider.Since(since.Tables)
+	}
+	var packed []byte
+	if !n.empty() {
+		var err error
+		if packed, err = c.packer.packNews(n); err != nil {
+			c.options.Log.Error().Err(err).Msg("news-unpackable")
+		}
+	}
+	c.packedNews[have] = packed
+	return packed
+}
+
 // rank returns the number of followers whose VMs have at least the given power.
 func (c *Control) rank(power float64) int {
 	count := 0
@@ -339,10 +368,10 @@
 		c.unpackConfig(now, a)
 	}
 	have := a.Have
-	if c.takeServers(e.sent.Add(a.Parked-a.ServersAge), a) {
+	if c.takeServers(e.sent.Add(a.Parked-a.ServersAge), e.news) {
 		have = Versions{}
 	}
-	c.followTables(a)
+	c.followTables(e.news)
 	if a.Processes != c.processes {
 		c.processes = a.Processes
 		c.published = Versions{}
@@ -363,43 +392,43 @@
 // takeServers takes over the servers of an answer as they were at a time, unless this process knows
 // them from a later reading. It reports whether the leader should send all of them next time, because
 // its changes lead to a list that this process does not have.
-func (c *Control) takeServers(at time.Time, a Answer) bool {
+func (c *Control) takeServers(at time.Time, n news) bool {
 	older := c.list.confirmed.Sub(at) > callJitter
-	if older && (c.ownList || a.Whole) {
+	if older && (c.ownList || n.Whole) {
 		c.ownList = true
 		return false
 	}
 	if !older {
 		c.list.confirmed = at
 	}
-	c.followServers(a)
-	whole := c.ownList && !a.Whole
+	c.followServers(n)
+	whole := c.ownList && !n.Whole
 	c.ownList = false
 	return whole
 }
 
-func (c *Control) followServers(a Answer) {
-	if !a.Listed || !a.Whole && len(a.Servers) == 0 && len(a.Removed) == 0 {
+func (c *Control) followServers(n news) {
+	if !n.Listed || !n.Whole && len(n.Servers) == 0 && len(n.Removed) == 0 {
 		return
 	}
 	var before []assign.Server
-	if !a.Whole {
+	if !n.Whole {
 		before = c.list.directory.Servers()
 	}
-	if c.list.directory.Replace(apply(before, a.Servers, a.Removed)) {
+	if c.list.directory.Replace(apply(before, n.Servers, n.Removed)) {
 		c.logServers()
 	}
 }
 
-func (c *Control) followTables(a Answer) {
-	if !a.Whole && len(a.Rows) == 0 {
+func (c *Control) followTables(n news) {
+	if !n.Whole && len(n.Rows) == 0 {
 		return
 	}
 	tables := map[assign.ServiceID]shard.Table{}
-	if !a.Whole {
+	if !n.Whole {
 		maps.Copy(tables, c.tables)
 	}
-	for id, rows := range a.Rows {
+	for id, rows := range n.Rows {
 		tables[id] = tables[id].Overlay(rows)
 	}
 	c.tables = tables
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -85,6 +85,8 @@
 	callJitter = 200 * time.Millisecond
 	// parkTime is how long the leader keeps a follower's call open when nothing changes.
 	parkTime = 500 * time.Millisecond
+	// tellShare is how long the leader collects changes for each follower before it tells them.
+	tellShare = time.Millisecond
 	// followerAge is how long ago a follower may have called to be counted.
 	followerAge = 3 * time.Second
 	// resignTime bounds the write of a resignation.
--- a/internal/steer/talk.go
+++ b/internal/steer/talk.go
@@ -10,9 +10,6 @@
 
 	"github.com/joomcode/errorx"
 	"github.com/sourcegraph/conc"
-
-	"github.com/samphiredrum/samphiredrum/pkg/assign"
-	"github.com/samphiredrum/samphiredrum/pkg/shard"
 )
 
 const (
@@ -79,12 +76,8 @@
 	// Config is the compressed configuration with ConfigRevision, its revision in the store.
 	Config         []byte
 	ConfigRevision uint64
-	// Whole reports that the servers and rows are all there are, not only those that changed.
-	Whole   bool
-	Listed  bool
-	Servers []assign.Server
-	Removed []assign.ServerID
-	Rows    map[assign.ServiceID][]shard.Row
+	// News is the packed news of servers and rows, empty where the follower lacks none.
+	News []byte
 }
 
 // host answers the calls of followers.
@@ -183,6 +176,7 @@
 		default:
 		}
 		sent := f.control.options.Clock.Now()
+		var told news
 		answer, err := Answer{}, error(nil)
 		if client == nil {
 			client, err = dial(address)
@@ -190,10 +184,13 @@
 		if err == nil {
 			answer, err = f.call(client)
 		}
+		if err == nil && len(answer.News) > 0 {
+			told, err = unpackNews(answer.News)
+		}
 		if len(answer.Peers) > 0 {
 			f.peers = answer.Peers
 		}
-		f.control.post(followed{sent: sent, from: address, answer: answer, err: err})
+		f.control.post(followed{sent: sent, from: address, answer: answer, news: told, err: err})
 		if err == nil && answer.Leads && !answer.StoreAway {
 			continue
 		}
