--- /dev/null
+++ b/pkg/shard/balance_test.go
@@ -0,0 +1,96 @@
+package shard_test
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/samphiredrum/samphiredrum/pkg/assign"
+	"github.com/samphiredrum/samphiredrum/pkg/lease"
+	"github.com/samphiredrum/samphiredrum/pkg/shard"
+)
+
+// calm plays a decider whose orders and writes all succeed at once.
+type calm struct {
+	decider *shard.Decider
+	now     time.Time
+}
+
+// newCalm returns a decider of ten servers, each of which owns a tenth of the keys.
+func newCalm() *calm {
+	c := &calm{
+		decider: shard.NewDecider(shard.Config{Hold: 4 * time.Second, LongestHold: 10 * time.Second}),
+		now:     time.Unix(1000, 0),
+	}
+	var servers []assign.Server
+	table := shard.Table{Next: 11}
+	for i := range 10 {
+		s := assign.Server{
+			ID: assign.ServerID(fmt.Sprintf("s-%d", i)), Service: simService, Slots: 6,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
+		}
+		servers = append(servers, s)
+		last := uint16(i*6553 + 6552)
+		if i == 9 {
+			last = shard.LastKey
+		}
+		table.Rows = append(table.Rows, shard.Row{
+			Range: shard.Range{First: uint16(i * 6553), Last: last}, Owner: shard.HolderOf(s), Fence: lease.Fence(i + 1), Open: true,
+		})
+	}
+	c.step(shard.Began{Tables: map[assign.ServiceID]shard.Table{simService: table}})
+	c.step(shard.Listed{Services: map[assign.ServiceID][]assign.Server{simService: servers}})
+	return c
+}
+
+func (c *calm) step(e shard.Event) {
+	for _, a := range c.decider.Step(c.now, e) {
+		switch a := a.(type) {
+		case shard.Write:
+			c.step(shard.Stored{Write: a.Number})
+		case shard.Grant:
+			c.step(shard.Granted{Grant: a, Outcome: shard.Done})
+		case shard.Release:
+			c.step(shard.Released{Release: a, Outcome: shard.Done})
+		}
+	}
+}
+
+// play lets time pass, with the keys requested ten times a second each.
+func (c *calm) play(d time.Duration, keys []uint16) {
+	for end := c.now.Add(d); c.now.Before(end); c.now = c.now.Add(100 * time.Millisecond) {
+		c.step(shard.Used{Service: simService, Keys: keys})
+		c.step(shard.Tick{})
+	}
+}
+
+func (c *calm) owner(key uint16) assign.ServerID {
+	r, ok := c.decider.View()[simService].Lookup(key)
+	Expect(ok).To(BeTrue())
+	return r.Owner.Server
+}
+
+var _ = Describe("the balance of keys", func() {
+	// One key alone was so busy that its server was the busiest, whatever moved. No other server was
+	// relieved as long as that lasted.
+	It("relieves other servers while the load of a single key cannot be divided", func() {
+		c := newCalm()
+		var keys []uint16
+		for range 20 {
+			keys = append(keys, 100)
+		}
+		spread := []uint16{6553 + 10, 6553 + 20, 6553 + 30, 6553 + 40, 6553 + 50, 6553 + 60}
+		c.play(4*time.Second, append(keys, spread...))
+		// The mean load is 26 requests a second, so that no server but the first may have over 1.3 times that.
+		load := map[assign.ServerID]int{}
+		for _, k := range spread {
+			load[c.owner(k)] += 10
+		}
+		for id, l := range load {
+			Expect(l).To(BeNumerically("<=", 33), string(id))
+		}
+	})
+})
--- a/pkg/shard/plan.go
+++ b/pkg/shard/plan.go
@@ -192,12 +192,11 @@
 		power += c.power
 	}
 	mean := sum / power
-	for range max(leastMoves, len(candidates)/serversPerMove) {
-		if len(s.rows) >= maxRows(len(candidates)) {
-			return
-		}
+	givers := slices.Clone(candidates)
+	moves := max(leastMoves, len(candidates)/serversPerMove)
+	for moves > 0 && len(givers) > 0 && len(s.rows) < maxRows(len(candidates)) {
 		to := least(candidates)
-		from := slices.MaxFunc(candidates, func(a, b *candidate) int { return cmp.Compare(a.share(), b.share()) })
+		from := slices.MaxFunc(givers, func(a, b *candidate) int { return cmp.Compare(a.share(), b.share()) })
 		excess := (from.share() - mean) * from.power
 		room := (mean - to.share()) * to.power
 		if to.rows > 0 && (from.share() < imbalance*mean || excess < leastExcess) {
@@ -205,8 +204,11 @@
 		}
 		r, ok := s.portion(from, loads, min(excess, room))
 		if !ok {
-			return
+			// The load of a single key cannot be divided. The other servers can still be balanced.
+			givers = slices.DeleteFunc(givers, func(c *candidate) bool { return c == from })
+			continue
 		}
+		moves--
 		load := loads.of(r)
 		d.move(now, s, r, to.Holder)
 		from.load -= load
