shard, relay: Refuse at once what the owner of busy keys cannot run

Change: the leader knows the load of each owner and the time that it takes for a request. It tells the part of the requests that is more than the owner can run with the row; that part is refused at once, least urgent requests only, with a time to come back that grows with the excess. While a server is full only shorter times count for its pace. A request that a full owner rejected is sent again after an eighth of the objective or when the owner changes, not at once. Tests in balance_test.go and relay_test.go; the field did not exist before.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/samphiredrum/samphiredrum/internal/wire"
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 	"github.com/samphiredrum/samphiredrum/pkg/pick"
+	"github.com/samphiredrum/samphiredrum/pkg/shard"
 )
 
 //go:generate enumer -type=Reason -transform=kebab -output=reason_enumer.go
@@ -47,6 +48,8 @@
 	ReasonDeadline
 	// ReasonExpired is a request whose time was over before it was sent.
 	ReasonExpired
+	// ReasonOverload is a request for keys whose owner has more requests than it can run.
+	ReasonOverload
 	// ReasonGone is a request whose caller has left.
 	ReasonGone
 )
@@ -67,6 +70,15 @@
 	// after a refusal of servers, and where a key has no owner.
 	shortRetry = 100 * time.Millisecond
 	longRetry  = 400 * time.Millisecond
+	// overloadRetryShare, for each request that an owner has too many for one that it can run, is the
+	// part of the objective after which a caller is asked to repeat a request.
+	overloadRetryShare = 0.5
+	// longestRetryShare is the part of a request's time for which callers wait at most before they
+	// repeat it.
+	longestRetryShare = 1.0 / 3
+	// fullWaitShare is the part of the objective after which a request is sent again to an owner that
+	// was full.
+	fullWaitShare = 0.125
 	// leastLeft is the time below which a request is not sent any more.
 	leastLeft = 5 * time.Millisecond
 )
@@ -190,9 +202,9 @@
 
 // serveKey sends the request to the owner of its key.
 func (x *exchange) serveKey(ctx context.Context, v *view.View) {
-	limit := x.arrived.Add(time.Duration(float64(x.rule.Objective) * ownerWaitShare))
+	limit := x.arrived.Add(x.objectiveShare(ownerWaitShare))
 	for {
-		b := x.service.owner(x.relay.options.Clock.Now(), v, x.marks.Key)
+		b, shed := x.service.owner(x.relay.options.Clock.Now(), v, x.marks.Key)
 		if b == nil {
 			if v = x.nextView(ctx, v, limit); v == nil {
 				x.give(ReasonNoOwner)
@@ -200,6 +212,11 @@
 			}
 			continue
 		}
+		if x.sends == 0 && x.service.sheds(x.rule.Priority, shed) {
+			x.last = b.server.ID
+			x.refuse(ReasonOverload, x.overloadRetry(shed))
+			return
+		}
 		started, sends := time.Now(), x.sends
 		verdict, err := x.send(ctx, b)
 		if err == nil && !verdict.NotRun {
@@ -217,10 +234,26 @@
 			}
 			continue
 		}
+		if verdict.NotRun {
+			// The owner is full. Another view may name another owner.
+			x.nextView(ctx, v, time.Now().Add(x.objectiveShare(fullWaitShare)))
+		}
 		v = x.relay.view()
 	}
 }
 
+func (x *exchange) objectiveShare(share float64) time.Duration {
+	return time.Duration(float64(x.rule.Objective) * share)
+}
+
+// overloadRetry returns when to repeat a request to an owner with too many requests: later the more of
+// them it cannot run, since a repeat has no better chance before the load falls.
+func (x *exchange) overloadRetry(shed uint8) time.Duration {
+	excess := float64(shed) / float64(shard.ShedSteps-shed)
+	longest := time.Duration(float64(time.Until(x.deadline)) * longestRetryShare)
+	return min(longest, max(shortRetry, x.objectiveShare(overloadRetryShare*excess)))
+}
+
 // nextView waits for another View than v until the limit, and returns nil where there is none.
 func (x *exchange) nextView(ctx context.Context, v *view.View, limit time.Time) *view.View {
 	if latest := x.relay.view(); latest != v {
--- a/internal/relay/reason_enumer.go
+++ b/internal/relay/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "reason-nonereason-no-configreason-no-rulereason-no-keyreason-no-ownerreason-no-serverreason-refusedreason-unreachablereason-lostreason-deadlinereason-expiredreason-gone"
+const _ReasonName = "reason-nonereason-no-configreason-no-rulereason-no-keyreason-no-ownerreason-no-serverreason-refusedreason-unreachablereason-lostreason-deadlinereason-expiredreason-overloadreason-gone"
 
-var _ReasonIndex = [...]uint8{0, 11, 27, 41, 54, 69, 85, 99, 117, 128, 143, 157, 168}
+var _ReasonIndex = [...]uint8{0, 11, 27, 41, 54, 69, 85, 99, 117, 128, 143, 157, 172, 183}
 
-const _ReasonLowerName = "reason-nonereason-no-configreason-no-rulereason-no-keyreason-no-ownerreason-no-serverreason-refusedreason-unreachablereason-lostreason-deadlinereason-expiredreason-gone"
+const _ReasonLowerName = "reason-nonereason-no-configreason-no-rulereason-no-keyreason-no-ownerreason-no-serverreason-refusedreason-unreachablereason-lostreason-deadlinereason-expiredreason-overloadreason-gone"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -35,10 +35,11 @@
 	_ = x[ReasonLost-(8)]
 	_ = x[ReasonDeadline-(9)]
 	_ = x[ReasonExpired-(10)]
-	_ = x[ReasonGone-(11)]
+	_ = x[ReasonOverload-(11)]
+	_ = x[ReasonGone-(12)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonNoConfig, ReasonNoRule, ReasonNoKey, ReasonNoOwner, ReasonNoServer, ReasonRefused, ReasonUnreachable, ReasonLost, ReasonDeadline, ReasonExpired, ReasonGone}
+var _ReasonValues = []Reason{ReasonNone, ReasonNoConfig, ReasonNoRule, ReasonNoKey, ReasonNoOwner, ReasonNoServer, ReasonRefused, ReasonUnreachable, ReasonLost, ReasonDeadline, ReasonExpired, ReasonOverload, ReasonGone}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:11]:         ReasonNone,
@@ -63,8 +64,10 @@
 	_ReasonLowerName[128:143]: ReasonDeadline,
 	_ReasonName[143:157]:      ReasonExpired,
 	_ReasonLowerName[143:157]: ReasonExpired,
-	_ReasonName[157:168]:      ReasonGone,
-	_ReasonLowerName[157:168]: ReasonGone,
+	_ReasonName[157:172]:      ReasonOverload,
+	_ReasonLowerName[157:172]: ReasonOverload,
+	_ReasonName[172:183]:      ReasonGone,
+	_ReasonLowerName[172:183]: ReasonGone,
 }
 
 var _ReasonNames = []string{
@@ -79,7 +82,8 @@
 	_ReasonName[117:128],
 	_ReasonName[128:143],
 	_ReasonName[143:157],
-	_ReasonName[157:168],
+	_ReasonName[157:172],
+	_ReasonName[172:183],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -214,13 +214,15 @@
 			Timeout: 700 * time.Millisecond, Attempts: 2, Targets: []route.Target{{Service: service, Weight: 1}},
 		}
 	}
+	ledgerRule := rule("/ledger/", ledger, true)
+	ledgerRule.Priority = 1
 	services := []route.Service{
 		{ID: history, Connections: 130}, {ID: bookings, Connections: 130}, {ID: ledger, Connections: 130, Partitioned: true},
 	}
 	limits := route.Limits{HeaderBytes: 4096, BodyBytes: 1000, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}
 	b := &bench{board: view.NewBoard(), view: view.View{
 		Config: route.New(1, []*route.Rule{
-			rule("/history/", history, true), rule("/book/", bookings, false), rule("/ledger/", ledger, true),
+			rule("/history/", history, true), rule("/book/", bookings, false), ledgerRule, rule("/urgent/", ledger, true),
 		}, services, limits),
 		Listed: true, Services: map[assign.ServiceID][]assign.Server{}, Processes: 1,
 	}, log: &lines{}}
@@ -393,6 +395,35 @@
 		Expect(c.receive().StatusCode()).To(Equal(200))
 	})
 
+	// All requests for a busy key waited behind a full queue at its owner, and most of them were refused
+	// only there or came back too late.
+	It("is refused at once for its part where the owner has too many, unless it is urgent", func() {
+		b := newBench()
+		s := newBackend(ok)
+		b.add("s-1", ledger, s)
+		b.view.Tables = map[assign.ServiceID]shard.Table{ledger: {Rows: []shard.Row{{
+			Range: shard.Range{First: 0, Last: shard.LastKey}, Owner: shard.HolderOf(s.listed("s-1", ledger)),
+			Open: true, Shed: shard.ShedSteps / 2,
+		}}}}
+		b.board.Publish(b.view)
+		c := b.dial()
+		refused := 0
+		for range 64 {
+			c.send("GET", "/ledger/1", "Shard-Key: 7\r\n", "")
+			if r := c.receive(); r.StatusCode() == 503 {
+				refused++
+				// As many requests are too many as can run: a repeat after half the objective.
+				Expect(string(r.Header.Peek("Retry-After"))).To(Equal("0.15"))
+			}
+		}
+		Expect(refused).To(BeNumerically(">", 0))
+		Expect(s.requests()).To(Equal(64 - refused))
+		for range 16 {
+			c.send("GET", "/urgent/1", "Shard-Key: 7\r\n", "")
+			Expect(c.receive().StatusCode()).To(Equal(200))
+		}
+	})
+
 	// An owner that cannot be reached was dialled again and again until the request's time was over.
 	It("does not dial an owner that refuses connections again and again", func() {
 		b := newBench()
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -12,6 +12,7 @@
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 	"github.com/samphiredrum/samphiredrum/pkg/limit"
 	"github.com/samphiredrum/samphiredrum/pkg/pick"
+	"github.com/samphiredrum/samphiredrum/pkg/shard"
 )
 
 const (
@@ -51,6 +52,8 @@
 	retries  *limit.Quota
 	config   route.Service
 	backends map[assign.ServerID]*backend
+	// leastUrgent is the priority of the least urgent requests.
+	leastUrgent int
 }
 
 // backend is one run of a server.
@@ -176,19 +179,29 @@
 	s.set.Done(now, b.server.ID, r)
 }
 
-// owner returns the server that owns the key, nil where requests cannot be sent to it at present.
-func (s *service) owner(now time.Time, v *view.View, key uint16) *backend {
+// owner returns the server that owns the key, nil where requests cannot be sent to it at present, and
+// the part of its requests to refuse, out of shard.ShedSteps.
+func (s *service) owner(now time.Time, v *view.View, key uint16) (*backend, uint8) {
 	row, ok := v.Tables[s.id].Lookup(key)
 	if !ok || !row.Open {
-		return nil
+		return nil, 0
 	}
 	b := s.backend(row.Owner.Server, row.Owner.Address)
 	if b == nil || b.server.Born != row.Owner.Born {
-		return nil
+		return nil, 0
 	}
 	limit := time.Duration(float64(s.options.DrainTime) * leaveShare)
 	if !b.leaving.IsZero() && now.Sub(b.leaving) > limit {
-		return nil
+		return nil, 0
 	}
-	return b
+	return b, row.Shed
+}
+
+// sheds decides whether a request with a priority is refused, where a part of the requests is. Only
+// the least urgent ones of the service are.
+func (s *service) sheds(priority int, shed uint8) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leastUrgent = max(s.leastUrgent, priority)
+	return priority == s.leastUrgent && rand.IntN(shard.ShedSteps) < int(shed)
 }
--- a/internal/steer/follow_test.go
+++ b/internal/steer/follow_test.go
@@ -99,9 +99,9 @@
 		clk.Advance(10 * time.Second)
 		begun = clk.Now()
 		c.followed(begun, followed{
-			sent: begun,
+			sent:   begun,
 			answer: Answer{Leads: true, Have: Versions{Run: "a", Servers: 1}},
-			news: news{Whole: true, Listed: true, Servers: []assign.Server{named("s-1", false), named("s-2", false)}},
+			news:   news{Whole: true, Listed: true, Servers: []assign.Server{named("s-1", false), named("s-2", false)}},
 		})
 	})
 
@@ -110,9 +110,9 @@
 	It("takes over a change that a slow call brings", func() {
 		late := begun.Add(time.Second)
 		c.followed(late, followed{
-			sent: begun.Add(-time.Millisecond),
+			sent:   begun.Add(-time.Millisecond),
 			answer: Answer{Leads: true, Have: Versions{Run: "a", Servers: 2}},
-			news: news{Listed: true, Servers: []assign.Server{named("s-2", true)}},
+			news:   news{Listed: true, Servers: []assign.Server{named("s-2", true)}},
 		})
 		Expect(c.list.directory.Servers()).To(Equal([]assign.Server{named("s-1", false), named("s-2", true)}))
 	})
@@ -123,16 +123,16 @@
 		c.list.confirmed, c.ownList = own, true
 		c.list.directory.Replace([]assign.Server{named("s-1", true)})
 		c.followed(own, followed{
-			sent: own,
+			sent:   own,
 			answer: Answer{Leads: true, Have: Versions{Run: "a", Servers: 2}, ServersAge: time.Second},
-			news: news{Listed: true, Servers: []assign.Server{named("s-2", true)}},
+			news:   news{Listed: true, Servers: []assign.Server{named("s-2", true)}},
 		})
 		Expect(c.list.directory.Servers()).To(Equal([]assign.Server{named("s-1", true)}))
 
 		c.followed(own.Add(time.Second), followed{
-			sent: own.Add(time.Second),
+			sent:   own.Add(time.Second),
 			answer: Answer{Leads: true, Have: Versions{Run: "a", Servers: 3}},
-			news: news{Listed: true, Servers: []assign.Server{named("s-3", false)}},
+			news:   news{Listed: true, Servers: []assign.Server{named("s-3", false)}},
 		})
 		Expect(*c.known.Load()).To(Equal(Versions{}))
 	})
@@ -146,15 +146,15 @@
 		c.list.directory.Replace([]assign.Server{named("s-1", false), named("s-gone", false)})
 		next := own.Add(700 * time.Millisecond)
 		c.followed(next, followed{
-			sent: next,
+			sent:   next,
 			answer: Answer{Leads: true, Have: Versions{Run: "a", Servers: 8}},
-			news: news{Listed: true, Servers: []assign.Server{named("s-2", false)}},
+			news:   news{Listed: true, Servers: []assign.Server{named("s-2", false)}},
 		})
 		Expect(*c.known.Load()).To(Equal(Versions{}))
 		c.followed(next, followed{
-			sent: next.Add(-time.Millisecond),
+			sent:   next.Add(-time.Millisecond),
 			answer: Answer{Leads: true, Have: Versions{Run: "a", Servers: 8}},
-			news: news{Whole: true, Listed: true, Servers: []assign.Server{named("s-1", false), named("s-2", false)}},
+			news:   news{Whole: true, Listed: true, Servers: []assign.Server{named("s-1", false), named("s-2", false)}},
 		})
 		Expect(c.list.directory.Servers()).To(Equal([]assign.Server{named("s-1", false), named("s-2", false)}))
 	})
@@ -164,17 +164,17 @@
 		c.list.directory.Replace([]assign.Server{named("s-1", true), named("s-2", false)})
 		next := begun.Add(300 * time.Millisecond)
 		c.followed(next, followed{
-			sent: next,
+			sent:   next,
 			answer: Answer{Leads: true, Have: Versions{Run: "b", Servers: 7}, ServersAge: time.Second},
-			news: news{Whole: true, Listed: true, Servers: []assign.Server{named("s-1", false), named("s-2", false)}},
+			news:   news{Whole: true, Listed: true, Servers: []assign.Server{named("s-1", false), named("s-2", false)}},
 		})
 		Expect(c.list.directory.Servers()).To(Equal([]assign.Server{named("s-1", true), named("s-2", false)}))
 
 		later := begun.Add(time.Second)
 		c.followed(later, followed{
-			sent: later,
+			sent:   later,
 			answer: Answer{Leads: true, Have: Versions{Run: "b", Servers: 7}},
-			news: news{Listed: true},
+			news:   news{Listed: true},
 		})
 		Expect(*c.known.Load()).To(Equal(Versions{}))
 	})
--- a/pkg/shard/balance_test.go
+++ b/pkg/shard/balance_test.go
@@ -93,4 +93,28 @@
 			Expect(l).To(BeNumerically("<=", 33), string(id))
 		}
 	})
+
+	// The owner of one very busy key had a full queue for as long as that lasted: what it ran was late.
+	It("tells which part of the requests for a key is more than its owner can run", func() {
+		c := newCalm()
+		ran := shard.Work{Requests: 100, Time: 30 * time.Second}
+		c.step(shard.Ran{Service: simService, Work: map[assign.ServerID]shard.Work{"s-0": ran, "s-1": ran}})
+		// 6 slots and 0.3 s a request: 20 requests a second can run.
+		c.play(3*time.Second, []uint16{100, 100, 100, 100, 7000})
+		rows := c.decider.View()[simService]
+		busy, _ := rows.Lookup(100)
+		Expect(float64(busy.Shed) / shard.ShedSteps).To(BeNumerically("~", 0.5, 1.0/shard.ShedSteps))
+		idle, _ := rows.Lookup(7000)
+		Expect(idle.Shed).To(BeZero())
+
+		// The queue makes the time of each request longer, which says nothing of what the server can run.
+		c.step(shard.Ran{Service: simService, Work: map[assign.ServerID]shard.Work{"s-0": {Requests: 100, Time: 300 * time.Second}}})
+		c.play(200*time.Millisecond, []uint16{100, 100, 100, 100, 7000})
+		again, _ := c.decider.View()[simService].Lookup(100)
+		Expect(again.Shed).To(Equal(busy.Shed))
+
+		c.play(5*time.Second, []uint16{7000})
+		calm, _ := c.decider.View()[simService].Lookup(100)
+		Expect(calm.Shed).To(BeZero())
+	})
 })
--- a/pkg/shard/decider.go
+++ b/pkg/shard/decider.go
@@ -69,6 +69,8 @@
 	suspects map[assign.ServerID]time.Time
 	use      usage
 	pace     pace
+	// shedding are the servers whose load exceeds what they can run.
+	shedding map[assign.ServerID]bool
 	balanced time.Time
 	// settled is since when the set of listed servers is the same.
 	settled time.Time
@@ -185,7 +187,7 @@
 		}
 	case Ran:
 		if s := d.services[e.Service]; s != nil {
-			s.pace.add(e.Work)
+			s.pace.add(e.Work, s.shedding)
 		}
 	case Tick:
 		if e.StoreAway && !d.away {
@@ -242,7 +244,7 @@
 func (d *Decider) service(id assign.ServiceID) *service {
 	s := d.services[id]
 	if s == nil {
-		s = &service{id: id, next: 1, silent: map[assign.ServerID]time.Time{}, suspects: map[assign.ServerID]time.Time{}}
+		s = &service{id: id, next: 1, silent: map[assign.ServerID]time.Time{}, suspects: map[assign.ServerID]time.Time{}, shedding: map[assign.ServerID]bool{}}
 		d.services[id] = s
 	}
 	return s
--- a/pkg/shard/pace.go
+++ b/pkg/shard/pace.go
@@ -20,7 +20,9 @@
 	server map[assign.ServerID]float64
 }
 
-func (p *pace) add(work map[assign.ServerID]Work) {
+// add takes over work. The time at a full server includes that in its queue, so that there only shorter
+// times than the known one count.
+func (p *pace) add(work map[assign.ServerID]Work, full map[assign.ServerID]bool) {
 	if p.server == nil {
 		p.server = map[assign.ServerID]float64{}
 	}
@@ -35,6 +37,9 @@
 		if p.server[id] == 0 {
 			p.server[id] = p.mean
 		}
+		if full[id] && took > p.server[id] {
+			continue
+		}
 		share := min(1, float64(w.Requests)/paceRequests)
 		p.server[id] += share * (took - p.server[id])
 		// The mean follows each server's share of the requests more slowly.
--- a/pkg/shard/plan.go
+++ b/pkg/shard/plan.go
@@ -71,6 +71,7 @@
 		s.balanced = now
 		d.balance(now, s, candidates, loads)
 	}
+	d.shed(s, candidates)
 }
 
 // candidates returns the usable servers in order of their names.
--- a/pkg/shard/shard.go
+++ b/pkg/shard/shard.go
@@ -37,6 +37,9 @@
 	"github.com/samphiredrum/samphiredrum/pkg/lease"
 )
 
+// ShedSteps is the number of steps of Row.Shed.
+const ShedSteps = 16
+
 // LastKey is the highest key. The lowest is 0.
 const LastKey = 65535
 
@@ -76,6 +79,9 @@
 	Fence lease.Fence `json:"fence"`
 	// Open reports that the owner has confirmed its grant.
 	Open bool `json:"open"`
+	// Shed is the part of the requests, out of ShedSteps, that are to be refused at once, because the
+	// owner could not run all of them. It is not stored.
+	Shed uint8 `json:"-"`
 	// Prior are earlier owners that may still hold some of the keys.
 	Prior []Holder `json:"prior,omitempty"`
 }
