--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/samphiredrum/samphiredrum/internal/front"
+	"github.com/samphiredrum/samphiredrum/internal/stand/site"
 	"github.com/samphiredrum/samphiredrum/platform"
 )
 
@@ -106,18 +107,39 @@
 	return status
 }
 
+// book returns the name of the server that ran a booking.
 func (p *process) book() string {
 	_, body := p.ask("POST", "/book/1", "")
-	return body
+	server, _, _ := strings.Cut(body, " ran ")
+	return server
+}
+
+func newStore() *site.Store {
+	s, err := site.NewStore()
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(s.Close)
+	return s
+}
+
+func newServer(id, service string) *site.Server {
+	s, err := site.NewServer(site.ServerOptions{ID: id, Service: service, Born: 1})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(s.Kill)
+	return s
+}
+
+// list writes the entry of a server.
+func list(store *site.Store, s *site.Server, state string) {
+	store.Put("servers", s.ID(), s.Entry(s.Address(), state))
 }
 
 var _ = Describe("a cell of three processes", func() {
 	var (
-		store            *fakeStore
-		one, two         *fakeServer
-		oldest, newest   *fakeServer
+		store            *site.Store
+		one, two         *site.Server
+		oldest, newest   *site.Server
 		cell             []*process
-		servers          []*fakeServer
+		servers          []*site.Server
 		keys             = []string{"0", "9000", "30000", "50000", "65535"}
 		everywhereServed = func() bool {
 			for _, p := range cell {
@@ -132,16 +154,15 @@
 	)
 	BeforeEach(func() {
 		store = newStore()
-		one, two, oldest, newest = newServer("s-1"), newServer("s-2"), newServer("s-3"), newServer("s-4")
-		servers = []*fakeServer{one, two, oldest, newest}
-		store.put("config", "main", fmt.Sprintf(configuration, 1, "old"))
-		store.put("servers", "s-1", one.entry("ledger", "ready"))
-		store.put("servers", "s-2", two.entry("ledger", "ready"))
-		store.put("servers", "s-3", oldest.entry("old", "ready"))
-		store.put("servers", "s-4", newest.entry("new", "ready"))
+		one, two, oldest, newest = newServer("s-1", "ledger"), newServer("s-2", "ledger"), newServer("s-3", "old"), newServer("s-4", "new")
+		servers = []*site.Server{one, two, oldest, newest}
+		store.Put("config", "main", fmt.Sprintf(configuration, 1, "old"))
+		for _, s := range servers {
+			list(store, s, "ready")
+		}
 		cell = nil
 		for i := range 3 {
-			cell = append(cell, start(fmt.Sprintf("entry-%d", i+1), store.address()))
+			cell = append(cell, start(fmt.Sprintf("entry-%d", i+1), store.Address()))
 		}
 		DeferCleanup(func() {
 			for _, p := range cell {
@@ -153,8 +174,11 @@
 
 	AfterEach(func() {
 		for _, s := range servers {
-			_, most := s.requests()
-			Expect(most).To(BeNumerically("<=", 1), "a request ran twice on %s", s.id)
+			ran := map[string]int{}
+			for _, r := range s.Runs() {
+				ran[r.Request]++
+				Expect(ran[r.Request]).To(Equal(1), "request %s ran twice on %s", r.Request, s.ID())
+			}
 		}
 	})
 
@@ -164,11 +188,11 @@
 		for _, p := range cell {
 			Expect(p.book()).To(Equal("s-3"))
 		}
-		store.put("config", "main", fmt.Sprintf(configuration, 5, "new"))
+		store.Put("config", "main", fmt.Sprintf(configuration, 5, "new"))
 		for _, p := range cell {
 			Eventually(p.book, patience, 20*time.Millisecond).Should(Equal("s-4"))
 		}
-		store.put("config", "main", fmt.Sprintf(configuration, 3, "old"))
+		store.Put("config", "main", fmt.Sprintf(configuration, 3, "old"))
 		for range 20 {
 			for _, p := range cell {
 				Expect(p.book()).To(Equal("s-4"))
@@ -179,15 +203,14 @@
 
 	// Guards against keys that stay with a server that leaves.
 	It("moves the keys of a server that leaves", func() {
-		store.put("servers", "s-1", one.entry("ledger", "draining"))
-		for _, k := range []uint16{0, 9000, 30000, 50000, 65535} {
-			Eventually(func() bool { return two.holds(k) && !one.holds(k) }, patience, 20*time.Millisecond).Should(BeTrue())
+		list(store, one, "draining")
+		for _, k := range []int{0, 9000, 30000, 50000, 65535} {
+			Eventually(func() bool { return two.Holds(k) && !one.Holds(k) }, patience, 20*time.Millisecond).Should(BeTrue())
 		}
 		Eventually(everywhereServed, patience, 50*time.Millisecond).Should(BeTrue())
-		before, _ := one.requests()
+		before := len(one.Runs())
 		Expect(everywhereServed()).To(BeTrue())
-		after, _ := one.requests()
-		Expect(after).To(Equal(before))
+		Expect(one.Runs()).To(HaveLen(before))
 	})
 
 	// Guards against a cell that depends on one process.
@@ -198,19 +221,19 @@
 			stopped.Stop()
 			Eventually(everywhereServed, patience, 50*time.Millisecond).Should(BeTrue())
 		}
-		store.put("servers", "s-1", one.entry("ledger", "draining"))
-		Eventually(func() bool { return two.holds(0) && two.holds(65535) }, patience, 20*time.Millisecond).Should(BeTrue())
+		list(store, one, "draining")
+		Eventually(func() bool { return two.Holds(0) && two.Holds(65535) }, patience, 20*time.Millisecond).Should(BeTrue())
 	})
 
 	// Guards against an outage of the store that ends service while the grants bridge it.
 	It("serves while the store is down, and moves keys when it is back", func() {
-		store.setDown(true)
+		store.SetFault(site.StoreFault{Down: true})
 		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
 			Expect(everywhereServed()).To(BeTrue())
 		}
-		store.setDown(false)
-		store.remove("servers", "s-1")
-		Eventually(func() bool { return two.holds(0) && two.holds(65535) }, patience, 20*time.Millisecond).Should(BeTrue())
+		store.SetFault(site.StoreFault{})
+		store.Remove("servers", "s-1")
+		Eventually(func() bool { return two.Holds(0) && two.Holds(65535) }, patience, 20*time.Millisecond).Should(BeTrue())
 		Eventually(everywhereServed, patience, 50*time.Millisecond).Should(BeTrue())
 	})
 })
