leader: Leave a resigned lead to better suited candidates first; relay: no time left where none is known

The delay by which weak VMs stand back held only for a lapsed lead. Lines of requests that ended before their time was known showed 9e12 ms left. Change: the delay holds for a resigned lead, too. The field is left out where there is no deadline. Test in leader_test.go, red before.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -422,10 +422,13 @@
 	if x.reason == ReasonNone && x.response.StatusCode() < fasthttp.StatusInternalServerError && x.sends == 1 {
 		return
 	}
-	x.event().
+	e := x.event().
 		Str("request", x.marks.ID).Str("rule", rule).Int("status", x.response.StatusCode()).Stringer("reason", x.reason).
-		Int("sends", x.sends).Int("runs", x.runs).Str("server", string(x.last)).Dur("took-ms", took).
-		Dur("left-ms", time.Until(x.deadline)).AnErr("error", x.lastError).Msg("request-ended")
+		Int("sends", x.sends).Int("runs", x.runs).Str("server", string(x.last)).Dur("took-ms", took)
+	if !x.deadline.IsZero() {
+		e = e.Dur("left-ms", time.Until(x.deadline))
+	}
+	e.AnErr("error", x.lastError).Msg("request-ended")
 }
 
 func (x *exchange) event() *zerolog.Event {
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -58,7 +58,7 @@
 	Run  string
 	// Lease is how long the leader leads after it sent a write of the record.
 	Lease time.Duration
-	// Delay is how much longer this candidate waits before it takes a lapsed lead over, so that others
+	// Delay is how much longer this candidate waits before it takes a free lead over, so that others
 	// that are better suited come first.
 	Delay time.Duration
 }
@@ -335,8 +335,11 @@
 		return true
 	}
 	switch c.record.Holder {
-	case "", c.config.Name:
-		// The holder has resigned, or is an earlier run on this VM, which has ended.
+	case "":
+		// The holder has resigned.
+		return now.Sub(c.since) >= c.config.Delay
+	case c.config.Name:
+		// The holder is an earlier run on this VM, which has ended.
 		return true
 	}
 	return now.Sub(c.since) >= lease.DefaultMargin.Stretch(c.config.Lease)+c.config.Delay
--- a/pkg/leader/leader_test.go
+++ b/pkg/leader/leader_test.go
@@ -274,6 +274,17 @@
 		Expect(c.Step(now.Add(50*time.Millisecond), leader.Tick{})).To(BeEmpty())
 	})
 
+	// A leader on a strong VM that stopped as planned was followed by whichever process read first, on a VM
+	// too weak for the work.
+	It("leave a lead that was resigned to better suited ones for their delay", func() {
+		now := time.Unix(1000, 0)
+		c := leader.New(leader.Config{Name: "entry-1", Run: "r", Lease: testLease, Delay: 300 * time.Millisecond}, rand.New(rand.NewPCG(1, 1)))
+		c.Step(now, leader.Tick{})
+		Expect(c.Step(now, leader.Seen{Record: leader.Record{Term: 1, Run: "q"}, Version: 5})).To(BeEmpty())
+		Expect(c.Step(now.Add(200*time.Millisecond), leader.Tick{})).NotTo(ContainElement(BeAssignableToTypeOf(leader.Write{})))
+		Expect(c.Step(now.Add(300*time.Millisecond), leader.Tick{})).To(ContainElement(HaveField("IfVersion", uint64(5))))
+	})
+
 	// Guards against a takeover that loses the record to a write that is still under way.
 	It("write on the condition of the version that was ceded only", func() {
 		now := time.Unix(1000, 0)
