front, relay, logs: Take over changed settings while running; count dropped log lines

Cause: a changed settings file held from the next start only, SIGHUP was logged as ignored, and lines that the rate or a slow writer dropped were not counted (both listed as gaps in docs/platform.md). The metric samphiredrum_log_lines_dropped_total counts by cause.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -15,6 +15,8 @@
 	"errors"
 	"net"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -54,6 +56,7 @@
 
 // Process is one entry process.
 type Process struct {
+	mu       sync.Mutex
 	settings platform.Settings
 	log      zerolog.Logger
 	objects  *platform.Store
@@ -79,11 +82,13 @@
 	}
 }
 
-// Start starts an entry process. It returns an error where an address cannot be used.
-func Start(s platform.Settings, log zerolog.Logger) (*Process, error) {
+// Start starts an entry process. The lines that the log drops are counted in drops. It returns an error of
+// type ErrListen where an address cannot be used.
+func Start(s platform.Settings, log zerolog.Logger, drops *logs.Drops) (*Process, error) {
 	c := clock.System()
 	board := view.NewBoard()
 	registry := prometheus.NewRegistry()
+	registerDrops(registry, drops)
 	p := &Process{
 		settings: s,
 		log:      log,
@@ -117,14 +122,11 @@
 		Board:         board,
 		Messages:      platform.Messages{},
 		FailureDomain: s.FailureDomain,
-		DrainTime:     s.Bounds.DrainTime,
-		RetryShare:    s.Bounds.RetryShare,
-		RetryBurst:    s.Bounds.RetryBurst,
-		RetryWindow:   s.Bounds.RetryWindow,
+		Bounds:        relayBounds(s.Bounds),
 		Use:           p.control.Use,
 		Ran:           p.control.Ran,
 		Clock:         c,
-		Log:           logs.Sampled(log),
+		Log:           logs.Sampled(log, drops),
 		Meter:         relay.NewMeter(registry),
 	})
 	if p.server, err = relay.Listen(s.Callers, p.relay); err != nil {
@@ -141,6 +143,41 @@
 	return p, nil
 }
 
+// registerDrops makes the dropped log lines metrics.
+func registerDrops(r prometheus.Registerer, d *logs.Drops) {
+	for cause, count := range map[string]*atomic.Uint64{"buffer": &d.Buffer, "rate": &d.Rate} {
+		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name:        "samphiredrum_log_lines_dropped_total",
+			Help:        "Log lines that were not written.",
+			ConstLabels: prometheus.Labels{"cause": cause},
+		}, func() float64 { return float64(count.Load()) }))
+	}
+}
+
+func relayBounds(b platform.Bounds) relay.Bounds {
+	return relay.Bounds{
+		DrainTime: b.DrainTime, RetryShare: b.RetryShare, RetryBurst: b.RetryBurst, RetryWindow: b.RetryWindow,
+	}
+}
+
+// Reload takes over settings that have changed. The bounds of requests and of a planned stop hold at once;
+// everything else holds from the next start on.
+func (p *Process) Reload(s platform.Settings) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.settings
+	p.settings.Bounds = s.Bounds
+	p.settings.Bounds.LongestHold = before.Bounds.LongestHold
+	p.relay.SetBounds(relayBounds(s.Bounds))
+	p.log.Info().Bool("changed", before != s).Bool("restart-needed", p.settings != s).Msg("settings-reloaded")
+}
+
+func (p *Process) stopTime() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.settings.Bounds.StopTime
+}
+
 // side starts an HTTP server beside that of requests.
 func (p *Process) side(address netip.AddrPort, handler fasthttp.RequestHandler) error {
 	l, err := net.Listen("tcp", address.String())
@@ -187,7 +224,7 @@
 	p.control.Stop()
 	time.Sleep(noticeTime - time.Since(began))
 	p.server.Refuse()
-	end := began.Add(p.settings.Bounds.StopTime - stopSlack)
+	end := began.Add(p.stopTime() - stopSlack)
 	for p.server.Open() > 0 && time.Now().Before(end) {
 		time.Sleep(stopPoll)
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/samphiredrum/samphiredrum/internal/front"
+	"github.com/samphiredrum/samphiredrum/internal/logs"
 	"github.com/samphiredrum/samphiredrum/internal/stand/site"
 	"github.com/samphiredrum/samphiredrum/platform"
 )
@@ -74,7 +75,7 @@
 			RetryShare: 0.2, RetryBurst: 60, RetryWindow: 10 * time.Second,
 		},
 	}
-	p, err := front.Start(settings, zerolog.New(GinkgoWriter).With().Str("process", name).Logger())
+	p, err := front.Start(settings, zerolog.New(GinkgoWriter).With().Str("process", name).Logger(), &logs.Drops{})
 	Expect(err).NotTo(HaveOccurred())
 	return &process{Process: p, settings: settings}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -74,12 +74,8 @@
 	ConnectionField(name []byte) bool
 }
 
-// Options configure a Relay.
-type Options struct {
-	Board    *view.Board
-	Messages Messages
-	// FailureDomain is that of this process.
-	FailureDomain string
+// Bounds are what the operator sets for requests. They may change while the relay runs.
+type Bounds struct {
 	// DrainTime is how long a server that is leaving may still get requests.
 	DrainTime time.Duration
 	// RetryShare, RetryBurst and RetryWindow bound the repeated requests to a service over all
@@ -87,6 +83,16 @@
 	RetryShare  float64
 	RetryBurst  int
 	RetryWindow time.Duration
+}
+
+// Options configure a Relay.
+type Options struct {
+	Board    *view.Board
+	Messages Messages
+	// FailureDomain is that of this process.
+	FailureDomain string
+	// Bounds are those at the start.
+	Bounds Bounds
 	// Use is told the key of each request to a partitioned service.
 	Use func(service assign.ServiceID, key uint16)
 	// Ran is told the time of each request that the owner of its key ran.
@@ -101,6 +107,7 @@
 	options  Options
 	mu       sync.Mutex
 	seen     *view.View
+	bounds   Bounds
 	services map[assign.ServiceID]*service
 	splits   map[*route.Rule]*split
 }
@@ -109,6 +116,7 @@
 func New(o Options) *Relay {
 	return &Relay{
 		options:  o,
+		bounds:   o.Bounds,
 		services: map[assign.ServiceID]*service{},
 		splits:   map[*route.Rule]*split{},
 	}
@@ -120,6 +128,15 @@
 	return v.Config != nil && v.Listed
 }
 
+// SetBounds changes the bounds for the requests that follow.
+func (r *Relay) SetBounds(b Bounds) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bounds = b
+	// The services take them over with the next request.
+	r.seen = nil
+}
+
 // Close closes the connections to servers.
 func (r *Relay) Close() {
 	r.mu.Lock()
@@ -154,7 +171,7 @@
 			s = newService(id, r.options, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 			r.services[id] = s
 		}
-		s.update(now, c, v)
+		s.update(now, c, v, r.bounds)
 	}
 	return v
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -227,8 +227,9 @@
 		Listed: true, Services: map[assign.ServiceID][]assign.Server{}, Processes: 1,
 	}, log: &lines{}}
 	b.relay = relay.New(relay.Options{
-		Board: b.board, Messages: platform.Messages{}, FailureDomain: "fd-1", DrainTime: 2 * time.Second,
-		RetryShare: 0.2, RetryBurst: 60, RetryWindow: 10 * time.Second, Clock: clock.System(), Log: zerolog.New(io.MultiWriter(GinkgoWriter, b.log)),
+		Board: b.board, Messages: platform.Messages{}, FailureDomain: "fd-1",
+		Bounds: relay.Bounds{DrainTime: 2 * time.Second, RetryShare: 0.2, RetryBurst: 60, RetryWindow: 10 * time.Second},
+		Clock:  clock.System(), Log: zerolog.New(io.MultiWriter(GinkgoWriter, b.log)),
 		Use: func(assign.ServiceID, uint16) {}, Ran: func(assign.ServiceID, assign.ServerID, time.Duration) {},
 		Meter: relay.NewMeter(prometheus.NewRegistry()),
 	})
@@ -424,6 +425,21 @@
 		}
 	})
 
+	// A changed settings file was read at the next start only.
+	It("follows bounds that change while the process runs", func() {
+		b := newBench()
+		b.add("s-1", history, newBackend(shed))
+		b.add("s-2", history, newBackend(shed))
+		c := b.dial()
+		c.send("GET", "/history/1", "", "")
+		Expect(c.receive().StatusCode()).To(Equal(503))
+		Expect(b.log.String()).To(ContainSubstring("\"sends\":4"))
+		b.relay.SetBounds(relay.Bounds{DrainTime: 2 * time.Second, RetryWindow: 10 * time.Second})
+		c.send("GET", "/history/1", "", "")
+		Expect(c.receive().StatusCode()).To(Equal(503))
+		Expect(b.log.String()).To(ContainSubstring("\"sends\":1"))
+	})
+
 	// An owner that cannot be reached was dialled again and again until the request's time was over.
 	It("does not dial an owner that refuses connections again and again", func() {
 		b := newBench()
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -49,6 +49,7 @@
 	set     *pick.Shared
 
 	mu       sync.Mutex
+	bounds   Bounds
 	retries  *limit.Quota
 	config   route.Service
 	backends map[assign.ServerID]*backend
@@ -69,7 +70,6 @@
 		id:       id,
 		options:  o,
 		set:      pick.NewShared(pick.Config{FailureDomain: o.FailureDomain, Ramp: coldTime, Local: localFactor}, random),
-		retries:  limit.NewQuota(o.RetryShare*ratioShare, burst(o.RetryBurst, 0), o.RetryWindow),
 		backends: map[assign.ServerID]*backend{},
 	}
 }
@@ -82,12 +82,16 @@
 	return float64(total) * burstShare / float64(processes)
 }
 
-// update takes over the servers of a View.
-func (s *service) update(now time.Time, c route.Service, v *view.View) {
+// update takes over the servers of a View, and the bounds.
+func (s *service) update(now time.Time, c route.Service, v *view.View, b Bounds) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.config = c
-	s.retries.SetBurst(burst(s.options.RetryBurst, v.Processes))
+	if s.retries == nil || b != s.bounds {
+		s.bounds = b
+		s.retries = limit.NewQuota(b.RetryShare*ratioShare, 0, b.RetryWindow)
+	}
+	s.retries.SetBurst(burst(b.RetryBurst, v.Processes))
 	listed := v.Services[s.id]
 	next := make(map[assign.ServerID]*backend, len(listed))
 	for _, a := range listed {
@@ -190,13 +194,19 @@
 	if b == nil || b.server.Born != row.Owner.Born {
 		return nil, 0
 	}
-	limit := time.Duration(float64(s.options.DrainTime) * leaveShare)
-	if !b.leaving.IsZero() && now.Sub(b.leaving) > limit {
+	if !b.leaving.IsZero() && now.Sub(b.leaving) > s.leaveTime() {
 		return nil, 0
 	}
 	return b, row.Shed
 }
 
+// leaveTime is how long a leaving owner still gets requests.
+func (s *service) leaveTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(float64(s.bounds.DrainTime) * leaveShare)
+}
+
 // sheds decides whether a request with a priority is refused, where a part of the requests is. Only
 // the least urgent ones of the service are.
 func (s *service) sheds(priority int, shed uint8) bool {
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/netip"
@@ -148,7 +149,7 @@
 				break
 			}
 		}
-		if err == io.EOF && !dropped {
+		if errors.Is(err, io.EOF) && !dropped {
 			break
 		}
 		if err != nil {
