steer: Take any list of servers over where none is known

Cause: a process that had just started took the leader's first list for older than its own start, where the leader had not read the store in the last 0.4 s, and refused requests until it had read the store itself (1.2 s and more). Change: a list counts as older only than one that is known. Test in follow_test.go, red before; the test of the view works with a known list now and fails without that fix as before.

--- a/internal/steer/lead.go
+++ b/internal/steer/lead.go
@@ -394,7 +394,7 @@
 // them from a later reading. It reports whether the leader should send all of them next time, because
 // its changes lead to a list that this process does not have.
 func (c *Control) takeServers(at time.Time, n news) bool {
-	older := c.list.confirmed.Sub(at) > callJitter
+	older := c.list.directory.Known() && c.list.confirmed.Sub(at) > callJitter
 	if older && (c.ownList || n.Whole) {
 		c.ownList = true
 		return false
