steer: Regain a lapsed lead with the tables that were written last

The answer to a write of the record that comes after the lease has lapsed gives the lead back to the same process, whose decider then began with the tables that it had read before its first term: none. Change: a successful write makes its tables those that a new time in the lead begins with. Test in follow_test.go, red before.

--- a/internal/steer/calls.go
+++ b/internal/steer/calls.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/samphiredrum/samphiredrum/internal/store"
-	"github.com/samphiredrum/samphiredrum/pkg/leader"
 	"github.com/samphiredrum/samphiredrum/pkg/shard"
 )
 
@@ -26,7 +25,7 @@
 // writeRecord writes the record if its version is the expected one.
 type writeRecord struct {
 	control   *Control
-	record    leader.Record
+	record    record
 	value     []byte
 	tables    uint64
 	ifVersion uint64
@@ -36,7 +35,7 @@
 	ctx, cancel := context.WithTimeout(w.control.ctx, writeTimeout)
 	defer cancel()
 	version, err := w.control.options.Objects.Put(ctx, recordObject, w.value, w.ifVersion)
-	w.control.post(recordWritten{record: w.record, version: version, tables: w.tables, err: err})
+	w.control.post(recordWritten{record: w.record.Leader, services: w.record.Services, version: version, tables: w.tables, err: err})
 }
 
 // listServers lists the entries of the servers.
--- a/internal/steer/events.go
+++ b/internal/steer/events.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/samphiredrum/samphiredrum/internal/store"
+	"github.com/samphiredrum/samphiredrum/pkg/assign"
 	"github.com/samphiredrum/samphiredrum/pkg/leader"
 	"github.com/samphiredrum/samphiredrum/pkg/shard"
 )
@@ -20,8 +21,10 @@
 
 // recordWritten is the end of a write of the record.
 type recordWritten struct {
-	record  leader.Record
-	version uint64
+	record leader.Record
+	// services are the tables that were written.
+	services map[assign.ServiceID]shard.Table
+	version  uint64
 	// tables is the number of the decider's write that the record has.
 	tables uint64
 	err    error
--- a/internal/steer/follow_test.go
+++ b/internal/steer/follow_test.go
@@ -16,6 +16,7 @@
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 	"github.com/samphiredrum/samphiredrum/pkg/clock"
 	"github.com/samphiredrum/samphiredrum/pkg/leader"
+	"github.com/samphiredrum/samphiredrum/pkg/shard"
 )
 
 func TestSteer(t *testing.T) {
@@ -209,3 +210,31 @@
 		Expect(*c.known.Load()).To(Equal(Versions{}))
 	})
 })
+
+var _ = Describe("a leader whose lease has lapsed", func() {
+	// The answer to a write that came after the lease had lapsed gave the lead back, and the process went
+	// on from the tables that it had read at the start of its first term: there were none, so it gave all
+	// keys new owners with low fences.
+	It("goes on from the tables that it wrote last", func() {
+		c, clk := newFollower()
+		c.options.Objects = deaf{}
+		missing := recordRead{err: store.NewError(store.NotFound, store.Get, recordObject, nil)}
+		c.recordRead(clk.Now(), missing)
+		clk.Advance(2 * time.Second)
+		c.recordRead(clk.Now(), missing)
+		c.recordWritten(clk.Now(), recordWritten{record: leader.Record{Sequence: 1}, version: 5})
+		Expect(c.leads).To(BeTrue())
+
+		clk.Advance(leaseTime - 100*time.Millisecond)
+		c.advance(clk.Now(), leader.Tick{})
+		clk.Advance(300 * time.Millisecond)
+		c.advance(clk.Now(), leader.Tick{})
+		Expect(c.leads).To(BeFalse())
+		written := map[assign.ServiceID]shard.Table{"yards": {Next: 8, Rows: []shard.Row{{Fence: 7, Open: true}}}}
+		c.recordWritten(clk.Now(), recordWritten{record: leader.Record{Sequence: 2}, services: written, version: 6})
+		Expect(c.leads).To(BeTrue())
+		tables, _ := c.decider.Tables()
+		Expect(tables["yards"].Next).To(BeNumerically("==", 8))
+		Expect(tables["yards"].Rows).To(HaveLen(1))
+	})
+})
--- a/internal/steer/lead.go
+++ b/internal/steer/lead.go
@@ -96,13 +96,15 @@
 		c.options.Log.Error().Err(err).Msg("record-unwritable")
 		return
 	}
-	c.group.Go(writeRecord{control: c, record: w.Record, value: value, tables: tables, ifVersion: w.IfVersion}.run)
+	c.group.Go(writeRecord{control: c, record: r, value: value, tables: tables, ifVersion: w.IfVersion}.run)
 }
 
 func (c *Control) recordWritten(now time.Time, e recordWritten) {
 	c.answered(now, e.err)
 	switch {
 	case e.err == nil:
+		// The answer may give a lapsed lead back, which goes on from these tables.
+		c.record.Services = e.services
 		c.advance(now, leader.Written{Sequence: e.record.Sequence, Version: e.version})
 		c.decide(now, shard.Stored{Write: e.tables})
 		if c.decider.Unstored() {
