soak: Harm the servers that bookings go to

Change: half of the harm to answers and ways goes to servers of the latest version of the service of bookings.

--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -106,10 +106,10 @@
 
 // server harms a server, or lets one of the partitioned service leave.
 func (p *plan) server() {
-	kind, live, all := p.random.IntN(5), p.world.live(), p.world.all()
+	kind, live, booking := p.random.IntN(5), p.world.live(), p.world.booking()
 	m := live[p.random.IntN(len(live))]
-	if kind < 2 {
-		m = all[p.random.IntN(len(all))]
+	if kind < 2 && p.random.IntN(2) == 0 {
+		m = booking[p.random.IntN(len(booking))]
 	}
 	switch {
 	case kind == 0:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -156,15 +156,12 @@
 		}
 	}
 	a := c.attemptAt("POST", "/book/1", -1)
-	c.world.mu.Lock()
-	service := bookings(c.world.version)
-	c.world.mu.Unlock()
-	for _, m := range c.world.members {
-		if m.ID() == a.signature && m.Service() == service {
+	for _, m := range c.world.booking() {
+		if m.ID() == a.signature {
 			return ""
 		}
 	}
-	return fmt.Sprintf("answers %d from %q for a booking of %s", a.status, a.signature, service)
+	return fmt.Sprintf("answers %d from %q for a booking", a.status, a.signature)
 }
 
 // finish ends callers, processes and servers, and returns what was broken.
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -116,6 +116,14 @@
 	return slices.DeleteFunc(w.all(), func(m *member) bool { return m.Service() != ledger })
 }
 
+// booking returns the servers that bookings go to by the latest configuration.
+func (w *world) booking() []*member {
+	w.mu.Lock()
+	service := bookings(w.version)
+	w.mu.Unlock()
+	return slices.DeleteFunc(w.all(), func(m *member) bool { return m.Service() != service })
+}
+
 // all returns the servers that have not ended.
 func (w *world) all() []*member {
 	w.mu.Lock()
