leader, steer: Read the store less often while it is away

Change: those who do not lead read the record less and less often while reads fail, 1.5 s apart on average at most, with jitter; while they do, the list and the configuration are not read. The first process that reaches the store leads, and the others find it through each other. Tests in leader_test.go and follow_test.go.

--- a/internal/steer/control.go
+++ b/internal/steer/control.go
@@ -54,6 +54,8 @@
 	urgent bool
 	// spoke is when the store last answered.
 	spoke time.Time
+	// heard is when the leader last answered.
+	heard time.Time
 	// failing is since when every call to the store failed, the zero time where the last one did not.
 	failing time.Time
 	config  configState
@@ -240,7 +242,7 @@
 		return
 	}
 	watch := c.leads && c.config.revision > 0
-	if !watch && !c.leads && age(now, c.config.confirmed) < staleConfig {
+	if !watch && !c.leads && (age(now, c.config.confirmed) < staleConfig || c.probing(now)) {
 		return
 	}
 	c.config.reading = true
@@ -251,7 +253,7 @@
 	if c.list.reading || now.Before(c.list.next) {
 		return
 	}
-	if !c.leads && age(now, c.list.confirmed) < staleServers {
+	if !c.leads && (age(now, c.list.confirmed) < staleServers || c.probing(now)) {
 		return
 	}
 	c.list.reading = true
@@ -259,12 +261,23 @@
 	c.group.Go(listServers{control: c}.run)
 }
 
+// probing reports whether the candidate's reads of the record tell when the store is back, so that there
+// is no use in other reads.
+func (c *Control) probing(now time.Time) bool {
+	return !c.failing.IsZero() && age(now, c.heard) >= leaderSilence
+}
+
 // answered records whether the store answered.
 func (c *Control) answered(now time.Time, err error) {
 	switch {
 	case reached(err):
 		if !c.failing.IsZero() {
 			c.options.Log.Info().Dur("silent-ms", age(now, c.spoke)).Msg("store-back")
+			c.config.next, c.list.next = now, now
+			if age(now, c.failing) >= storeRetry {
+				// Entries may have lapsed because the store was away.
+				c.list.directory.Failed()
+			}
 		}
 		c.spoke = now
 		c.failing = time.Time{}
--- a/internal/steer/follow_test.go
+++ b/internal/steer/follow_test.go
@@ -172,6 +172,21 @@
 		Expect(c.list.directory.Servers()).To(Equal([]assign.Server{named("s-1", false)}))
 	})
 
+	// Servers whose entries lapsed while the store was away were taken for gone where only the record had
+	// been read meanwhile.
+	It("keeps servers whose entries are missing when the store is back", func() {
+		down := store.NewError(store.Down, store.Get, recordObject, nil)
+		now := begun.Add(3 * time.Second)
+		c.recordRead(now, recordRead{err: down})
+		Expect(c.probing(now)).To(BeTrue())
+		now = now.Add(2 * time.Second)
+		c.recordRead(now, recordRead{err: store.NewError(store.NotFound, store.Get, recordObject, nil)})
+		Expect(c.probing(now)).To(BeFalse())
+		c.options.Formats.Server = func(o store.Object) (assign.Server, error) { return named(o.Name, false), nil }
+		c.serversRead(now, serversRead{sent: now, objects: []store.Object{{Name: "s-1"}}})
+		Expect(c.list.directory.Servers()).To(HaveLen(2))
+	})
+
 	// A new process got the list of servers with versions that it had seen before, without the list, and
 	// published no view of it. It refused every request until something changed at the leader.
 	It("publishes what it takes over, also where the leader's versions are the same", func() {
--- a/internal/steer/lead.go
+++ b/internal/steer/lead.go
@@ -352,7 +352,7 @@
 		c.options.Log.Info().Str("leader", c.candidate.Holder()).Msg("leader-back")
 	}
 	a := e.answer
-	c.following = e.from
+	c.following, c.heard = e.from, now
 	c.advance(now, leader.Alive{Candidates: a.Processes})
 	switch {
 	case !a.StoreAway && !a.Yields:
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -78,6 +78,8 @@
 	// in a lease.
 	callTimeout  = 800 * time.Millisecond
 	writeTimeout = 500 * time.Millisecond
+	// leaderSilence is the time without an answer of the leader after which the candidate reads the record.
+	leaderSilence = 1500 * time.Millisecond
 	// awayAfter is the time without an answer after which the store counts as away.
 	awayAfter = 900 * time.Millisecond
 	// callJitter is how much earlier than it was a reading of the leader may seem to a follower, which
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -41,6 +41,10 @@
 	renewals = 3
 	// retryEvery is the time between tries of a write that failed.
 	retryEvery = 250 * time.Millisecond
+	// longestRetry bounds the mean time between tries of a read that fails, which doubles maxDoublings
+	// times at most.
+	longestRetry = 1500 * time.Millisecond
+	maxDoublings = 4
 	// maxJitter spreads the candidates that would all write at the same moment.
 	maxJitter = 200 * time.Millisecond
 	// firstJitter spreads the candidates where there is no record yet. One that wakes later finds it.
@@ -168,6 +172,8 @@
 	looked bool
 	// ceded is the version of the record whose holder ceded the lead to this candidate.
 	ceded uint64
+	// failures counts the reads in a row that failed.
+	failures int
 	// missed reports that no record was found before, so that the next finding may lead to a write.
 	missed bool
 }
@@ -197,6 +203,7 @@
 	switch e := e.(type) {
 	case Seen:
 		c.reading = false
+		c.failures = 0
 		c.nextRead = now.Add(c.readEvery())
 		c.see(now, e)
 	case Missing:
@@ -291,7 +298,18 @@
 		return
 	}
 	c.reading = false
-	c.nextRead = now.Add(retryEvery)
+	c.nextRead = now.Add(c.retryAfter())
+	c.failures++
+}
+
+// retryAfter returns the time from a read that failed to the next one. While the store is away, those who
+// do not lead read less and less often; the first of them that reaches it is enough.
+func (c *Candidate) retryAfter() time.Duration {
+	if c.leads {
+		return retryEvery
+	}
+	wait := min(longestRetry, retryEvery<<min(c.failures, maxDoublings))
+	return wait/2 + time.Duration(c.random.Int64N(int64(wait)))
 }
 
 func (c *Candidate) act(now time.Time) []Action {
--- a/pkg/leader/leader_test.go
+++ b/pkg/leader/leader_test.go
@@ -285,6 +285,24 @@
 		Expect(c.Step(now.Add(300*time.Millisecond), leader.Tick{})).To(ContainElement(HaveField("IfVersion", uint64(5))))
 	})
 
+	// Eighty processes made 1,400 reads of the record in an outage of 8 s, each of which is priced.
+	It("read less and less often while reads fail, and at least every 2.5 s", func() {
+		now := time.Unix(1000, 0)
+		c := leader.New(leader.Config{Name: "entry-1", Run: "r", Lease: testLease}, rand.New(rand.NewPCG(1, 1)))
+		var reads []time.Time
+		for end := now.Add(20 * time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
+			for _, a := range c.Step(now, leader.Tick{}) {
+				Expect(a).To(Equal(leader.Read{}))
+				reads = append(reads, now)
+				c.Step(now, leader.Failed{})
+			}
+		}
+		Expect(len(reads)).To(BeNumerically("<=", 25))
+		for i := range reads[1:] {
+			Expect(reads[i+1].Sub(reads[i])).To(BeNumerically("<=", 2500*time.Millisecond))
+		}
+	})
+
 	// Guards against a takeover that loses the record to a write that is still under way.
 	It("write on the condition of the version that was ceded only", func() {
 		now := time.Unix(1000, 0)
