leader: Test of the last leader's reads answers each read

Change: the read is answered. Without the last leader's shorter time it counts 7 reads instead of 30 and fails.

--- a/pkg/leader/leader_test.go
+++ b/pkg/leader/leader_test.go
@@ -311,17 +311,14 @@
 		c.Step(now, leader.Tick{})
 		Expect(c.Step(now, leader.Seen{Record: leader.Record{Holder: "entry-1", Run: "r", Term: 1}, Version: 5})).
 			To(ContainElement(BeAssignableToTypeOf(leader.Write{})))
-		c.Step(now, leader.Failed{Write: true})
+		Expect(c.Step(now, leader.Failed{Write: true})).To(ConsistOf(leader.Read{}))
+		c.Step(now, leader.Failed{})
 		reads := 0
 		for end := now.Add(10 * time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
 			for _, a := range c.Step(now, leader.Tick{}) {
-				switch a.(type) {
-				case leader.Read:
-					reads++
-					c.Step(now, leader.Failed{})
-				case leader.Write:
-					c.Step(now, leader.Failed{Write: true})
-				}
+				Expect(a).To(Equal(leader.Read{}))
+				reads++
+				c.Step(now, leader.Failed{})
 			}
 		}
 		Expect(reads).To(BeNumerically(">=", 30))
