relay: No write to a server's run that requests read

A new view wrote the listed server and the time since which it leaves while requests read them without the lock. Change: the run keeps what was listed first, and the time of leaving is read under the lock. Test in relay_test.go, which the race detector fails without the change (three reports).

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -440,6 +440,31 @@
 		Expect(b.log.String()).To(ContainSubstring("\"sends\":1"))
 	})
 
+	// The race detector found that a view was taken over while a request read what it is about to change.
+	It("runs while views are taken over", func() {
+		b := newBench()
+		s := newBackend(ok)
+		b.add("s-1", history, s)
+		owner := s.listed("s-1", ledger)
+		b.view.Services[ledger] = []assign.Server{owner}
+		b.view.Tables = map[assign.ServiceID]shard.Table{ledger: {Rows: []shard.Row{{
+			Range: shard.Range{First: 0, Last: shard.LastKey}, Owner: shard.HolderOf(owner), Open: true,
+		}}}}
+		b.board.Publish(b.view)
+		var group conc.WaitGroup
+		for _, path := range []string{"/history/1", "/ledger/1"} {
+			group.Go(sender{b.dial(), path}.run)
+		}
+		for i := range 200 {
+			listed := owner
+			listed.WarmUp = time.Duration(i)
+			b.view.Services = map[assign.ServiceID][]assign.Server{history: {s.listed("s-1", history)}, ledger: {listed}}
+			b.board.Publish(b.view)
+			time.Sleep(time.Millisecond)
+		}
+		group.Wait()
+	})
+
 	// An owner that cannot be reached was dialled again and again until the request's time was over.
 	It("does not dial an owner that refuses connections again and again", func() {
 		b := newBench()
@@ -460,6 +485,20 @@
 	})
 })
 
+// sender sends requests one after another.
+type sender struct {
+	caller *caller
+	path   string
+}
+
+func (s sender) run() {
+	defer GinkgoRecover()
+	for range 200 {
+		s.caller.send("GET", s.path, "Shard-Key: 7\r\n", "")
+		Expect(s.caller.receive().StatusCode()).To(Equal(200))
+	}
+}
+
 var _ = Describe("a planned stop", func() {
 	// Guards against requests that are cut by a stop, and against connections that outlive it.
 	It("answers what it has read and closes the connection after it", func() {
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -59,9 +59,11 @@
 
 // backend is one run of a server.
 type backend struct {
+	// server is what was listed first. Its name, address and start are those of the run.
 	server assign.Server
 	pool   *wire.Pool
-	// leaving is since when the server is known to leave, the zero time where it is not.
+	// leaving is since when the server is known to leave, the zero time where it is not. It is guarded by
+	// the lock of the service.
 	leaving time.Time
 }
 
@@ -97,7 +99,7 @@
 	for _, a := range listed {
 		b := s.backends[a.ID]
 		if b == nil || b.server.Address != a.Address || b.server.Born != a.Born {
-			b = &backend{pool: wire.New(a.Address, wire.Options{
+			b = &backend{server: a, pool: wire.New(a.Address, wire.Options{
 				BodyBytes:   answerBytes,
 				Idle:        serverIdle,
 				Dial:        serverDial,
@@ -110,7 +112,6 @@
 		if a.Draining && b.leaving.IsZero() {
 			b.leaving = now
 		}
-		b.server = a
 		next[a.ID] = b
 	}
 	for id, b := range s.backends {
@@ -194,17 +195,18 @@
 	if b == nil || b.server.Born != row.Owner.Born {
 		return nil, 0
 	}
-	if !b.leaving.IsZero() && now.Sub(b.leaving) > s.leaveTime() {
+	if s.left(now, b) {
 		return nil, 0
 	}
 	return b, row.Shed
 }
 
-// leaveTime is how long a leaving owner still gets requests.
-func (s *service) leaveTime() time.Duration {
+// left reports whether an owner has been leaving for so long that it gets no requests any more.
+func (s *service) left(now time.Time, b *backend) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Duration(float64(s.bounds.DrainTime) * leaveShare)
+	limit := time.Duration(float64(s.bounds.DrainTime) * leaveShare)
+	return !b.leaving.IsZero() && now.Sub(b.leaving) > limit
 }
 
 // sheds decides whether a request with a priority is refused, where a part of the requests is. Only
