steer: Keep missing entries only where nobody reached the store

Change: missing entries are kept only where the list was not confirmed by anybody for two heartbeats, the least time without the store in which an entry can lapse. Test in follow_test.go, red before.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -112,6 +112,7 @@
 		Board:       board,
 		Power:       s.Power,
 		LongestHold: s.Bounds.LongestHold,
+		Heartbeat:   s.Heartbeat,
 		Clock:       c,
 		Log:         log,
 	})
--- a/internal/steer/control.go
+++ b/internal/steer/control.go
@@ -274,10 +274,6 @@
 		if !c.failing.IsZero() {
 			c.options.Log.Info().Dur("silent-ms", age(now, c.spoke)).Msg("store-back")
 			c.config.next, c.list.next = now, now
-			if age(now, c.failing) >= storeRetry {
-				// Entries may have lapsed because the store was away.
-				c.list.directory.Failed()
-			}
 		}
 		c.spoke = now
 		c.failing = time.Time{}
@@ -329,7 +325,6 @@
 	c.list.reading = false
 	c.answered(now, e.err)
 	if e.err != nil {
-		c.list.directory.Failed()
 		c.list.next = now.Add(storeRetry)
 		c.options.Log.Warn().Str("what", "servers").Err(e.err).Msg("store-read-failed")
 		return
@@ -343,6 +338,11 @@
 		}
 		servers = append(servers, s)
 	}
+	if age(e.sent, c.list.confirmed) >= missedHeartbeats*c.options.Heartbeat {
+		// Entries may have lapsed because the store was away. Where only this process did not reach it, the
+		// leader's news say so.
+		c.list.directory.Failed()
+	}
 	c.list.confirmed = e.sent
 	if c.list.directory.Update(now, servers) {
 		c.have.Servers++
--- a/internal/steer/follow_test.go
+++ b/internal/steer/follow_test.go
@@ -32,6 +32,7 @@
 		Address:     netip.MustParseAddrPort("127.0.0.1:7620"),
 		Board:       view.NewBoard(),
 		LongestHold: 10 * time.Second,
+		Heartbeat:   time.Second,
 		Clock:       manual,
 		Log:         zerolog.New(io.Discard),
 	}), manual
@@ -191,6 +192,26 @@
 		Expect(c.list.directory.Servers()).To(HaveLen(2))
 	})
 
+	// The store refused one process, which then took the lead and kept a server for 2.4 s that had gone:
+	// requests reached it after its time to leave.
+	It("drops servers whose entries are missing where the leader reached the store all the while", func() {
+		now := begun.Add(500 * time.Millisecond)
+		c.serversRead(now, serversRead{sent: now, err: store.NewError(store.Down, store.List, "servers/", nil)})
+		now = begun.Add(2 * time.Second)
+		c.followed(now, followed{
+			sent:   now,
+			answer: Answer{Leads: true, Have: Versions{Run: "a", Servers: 1}, ServersAge: 600 * time.Millisecond},
+		})
+		c.options.Formats.Server = func(o store.Object) (assign.Server, error) {
+			s := named(o.Name, false)
+			s.Address = netip.MustParseAddrPort("10.0.0.1:80")
+			return s, nil
+		}
+		now = now.Add(300 * time.Millisecond)
+		c.serversRead(now, serversRead{sent: now, objects: []store.Object{{Name: "s-1"}}})
+		Expect(c.list.directory.Servers()).To(HaveLen(1))
+	})
+
 	// A new process got the list of servers with versions that it had seen before, without the list, and
 	// published no view of it. It refused every request until something changed at the leader.
 	It("publishes what it takes over, also where the leader's versions are the same", func() {
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -80,6 +80,8 @@
 	writeTimeout = 500 * time.Millisecond
 	// leaderSilence is the time without an answer of the leader after which the candidate reads the record.
 	leaderSilence = 1500 * time.Millisecond
+	// missedHeartbeats is the number of heartbeats that a server misses at least before its entry lapses.
+	missedHeartbeats = 2
 	// awayAfter is the time without an answer after which the store counts as away.
 	awayAfter = 900 * time.Millisecond
 	// callJitter is how much earlier than it was a reading of the leader may seem to a follower, which
@@ -138,8 +140,10 @@
 	Power float64
 	// LongestHold is the longest time for which keys may be granted.
 	LongestHold time.Duration
-	Clock       clock.Clock
-	Log         zerolog.Logger
+	// Heartbeat is how often a server refreshes its entry in the store.
+	Heartbeat time.Duration
+	Clock     clock.Clock
+	Log       zerolog.Logger
 }
 
 // delay returns how long the process leaves the lead to others.
