shard: Leave keys with an owner that runs requests though it does not answer orders

Change: an owner of which requests were reported in the last 1.5 s is not suspected; its renewal is tried on until its hold lapses. A renewal with a shorter time is renewed after a third of that time. Test in balance_test.go, red before.

--- a/pkg/shard/balance_test.go
+++ b/pkg/shard/balance_test.go
@@ -17,6 +17,8 @@
 type calm struct {
 	decider *shard.Decider
 	now     time.Time
+	// mute is a server that answers no orders.
+	mute assign.ServerID
 }
 
 // newCalm returns a decider of ten servers, each of which owns a tenth of the keys.
@@ -52,7 +54,11 @@
 		case shard.Write:
 			c.step(shard.Stored{Write: a.Number})
 		case shard.Grant:
-			c.step(shard.Granted{Grant: a, Outcome: shard.Done})
+			outcome := shard.Done
+			if a.Owner.Server == c.mute {
+				outcome = shard.Lost
+			}
+			c.step(shard.Granted{Grant: a, Outcome: outcome})
 		case shard.Release:
 			c.step(shard.Released{Release: a, Outcome: shard.Done})
 		}
@@ -118,3 +124,36 @@
 		Expect(calm.Shed).To(BeZero())
 	})
 })
+
+var _ = Describe("an owner that answers no orders", func() {
+	var c *calm
+	// play lets time pass, in which the server runs requests or not.
+	play := func(d time.Duration, runs bool) {
+		for end := c.now.Add(d); c.now.Before(end); c.now = c.now.Add(100 * time.Millisecond) {
+			if runs {
+				work := map[assign.ServerID]shard.Work{"s-3": {Requests: 1, Time: 100 * time.Millisecond}}
+				c.step(shard.Ran{Service: simService, Work: work})
+			}
+			c.step(shard.Tick{})
+		}
+	}
+	BeforeEach(func() {
+		c = newCalm()
+		c.mute = "s-3"
+	})
+
+	// A server with a full queue resets connections, those for orders among them. It lost its keys after 1 s
+	// without an answer, and nobody served them for 4 s more.
+	It("keeps its keys while it runs requests", func() {
+		play(3*time.Second, true)
+		Expect(c.owner(3 * 6553)).To(BeEquivalentTo("s-3"))
+		c.mute = ""
+		play(4*time.Second, true)
+		Expect(c.owner(3 * 6553)).To(BeEquivalentTo("s-3"))
+	})
+
+	It("is replaced where it runs none", func() {
+		play(4*time.Second, false)
+		Expect(c.owner(3 * 6553)).NotTo(BeEquivalentTo("s-3"))
+	})
+})
--- a/pkg/shard/decider.go
+++ b/pkg/shard/decider.go
@@ -26,6 +26,8 @@
 	// suspectAfter is the number of orders without an answer in a row after which the owner is
 	// replaced.
 	suspectAfter = 3
+	// workingFor is how long a report of requests that a server ran says that it works.
+	workingFor = 1500 * time.Millisecond
 	// suspectFor is how long a server that did not answer gets no further keys.
 	suspectFor = 5 * time.Second
 )
@@ -69,6 +71,8 @@
 	suspects map[assign.ServerID]time.Time
 	use      usage
 	pace     pace
+	// worked is when a server was last reported to have run a request.
+	worked map[assign.ServerID]time.Time
 	// shedding are the servers whose load exceeds what they can run.
 	shedding map[assign.ServerID]bool
 	balanced time.Time
@@ -188,6 +192,9 @@
 	case Ran:
 		if s := d.services[e.Service]; s != nil {
 			s.pace.add(e.Work, s.shedding)
+			for id := range e.Work {
+				s.worked[id] = now
+			}
 		}
 	case Tick:
 		if e.StoreAway && !d.away {
@@ -244,7 +251,7 @@
 func (d *Decider) service(id assign.ServiceID) *service {
 	s := d.services[id]
 	if s == nil {
-		s = &service{id: id, next: 1, silent: map[assign.ServerID]time.Time{}, suspects: map[assign.ServerID]time.Time{}, shedding: map[assign.ServerID]bool{}}
+		s = &service{id: id, next: 1, silent: map[assign.ServerID]time.Time{}, suspects: map[assign.ServerID]time.Time{}, shedding: map[assign.ServerID]bool{}, worked: map[assign.ServerID]time.Time{}}
 		d.services[id] = s
 	}
 	return s
@@ -276,6 +283,7 @@
 	for id := range s.pace.server {
 		if _, ok := s.servers[id]; !ok {
 			delete(s.pace.server, id)
+			delete(s.worked, id)
 		}
 	}
 	for id, until := range s.suspects {
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -102,7 +102,7 @@
 	switch e.Outcome {
 	case Done:
 		r.failures = 0
-		r.next = now.Add(d.config.Hold / renewals)
+		r.next = now.Add(min(d.config.Hold, e.Grant.Hold) / renewals)
 		r.until = later(r.until, now.Add(clockMargin.Stretch(e.Grant.Hold)))
 		r.handover = ""
 		if !r.Open {
@@ -145,8 +145,11 @@
 	}
 }
 
+// suspect decides whether to replace an owner that does not answer orders. One that has the keys and runs
+// requests is only too busy to answer, or its answers are lost.
 func (s *service) suspect(now time.Time, r *row) {
-	if r.failures >= suspectAfter {
+	working := r.Open && now.Sub(s.worked[r.Owner.Server]) < workingFor
+	if r.failures >= suspectAfter && !working {
 		s.suspects[r.Owner.Server] = now.Add(suspectFor)
 	}
 }
