site, soak, disco, relay: Remove what the last read found

Cause: a read of the whole change found state that can be derived (a count of runs), fields and a map that nothing reads, an answer that stood twice, a shadowed name, and two comments that were no longer true (a field that does not exist; when Failed is called). Change: these are removed or corrected; behaviour and every check are the same.

--- a/internal/disco/disco.go
+++ b/internal/disco/disco.go
@@ -7,7 +7,7 @@
 // # Usage
 //
 //	directory := disco.New()
-//	directory.Failed(now)         // a list that got no answer
+//	directory.Failed()             // the store was away for long
 //	directory.Update(now, servers) // a list
 //	servers := directory.Servers()
 package disco
@@ -49,7 +49,7 @@
 // Servers returns the servers in order of their names. The slice must not be changed.
 func (d *Directory) Servers() []assign.Server { return d.servers }
 
-// Failed records that the store did not answer.
+// Failed records that the store was away for so long that entries may have lapsed.
 func (d *Directory) Failed() { d.away = true }
 
 // Update takes a list of the store and reports whether the servers changed.
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -85,15 +85,15 @@
 }
 
 // update takes over the servers of a View, and the bounds.
-func (s *service) update(now time.Time, c route.Service, v *view.View, b Bounds) {
+func (s *service) update(now time.Time, c route.Service, v *view.View, bounds Bounds) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.config = c
-	if s.retries == nil || b != s.bounds {
-		s.bounds = b
-		s.retries = limit.NewQuota(b.RetryShare*ratioShare, 0, b.RetryWindow)
+	if s.retries == nil || bounds != s.bounds {
+		s.bounds = bounds
+		s.retries = limit.NewQuota(bounds.RetryShare*ratioShare, 0, bounds.RetryWindow)
 	}
-	s.retries.SetBurst(burst(b.RetryBurst, v.Processes))
+	s.retries.SetBurst(burst(bounds.RetryBurst, v.Processes))
 	listed := v.Services[s.id]
 	next := make(map[assign.ServerID]*backend, len(listed))
 	for _, a := range listed {
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -99,11 +99,6 @@
 
 // reverts checks that no process goes back to an earlier version of the configuration.
 func (j *judge) reverts() {
-	type shown struct {
-		at      time.Time
-		version int
-	}
-	latest := map[*life]shown{}
 	answered := slices.DeleteFunc(slices.Clone(j.attempts), func(a *attempt) bool { return a.status != 200 || a.method != "POST" })
 	slices.SortFunc(answered, func(a, b *attempt) int { return a.done.Compare(b.done) })
 	for i, a := range answered {
@@ -111,9 +106,6 @@
 		if version == 0 {
 			continue
 		}
-		if s := latest[a.life]; version > s.version {
-			latest[a.life] = shown{a.done, version}
-		}
 		for _, b := range answered[i+1:] {
 			if b.life == a.life && b.sent.Sub(a.done) > revertSlack {
 				if later := j.versionOf(b); later != 0 && later < version {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -88,7 +88,7 @@
 	Expect(os.Mkdir(folder, 0o700)).To(Succeed())
 	store, err := site.NewStore()
 	Expect(err).NotTo(HaveOccurred())
-	w := &world{folder: folder, program: program, store: store}
+	w := &world{store: store}
 	for range *servers {
 		Expect(w.addServer(ledger, "")).To(Succeed())
 	}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -42,17 +42,16 @@
 
 // world is one run of the soak.
 type world struct {
-	folder, program string
-	store           *site.Store
-	entries         []*entry
-	callers         []*caller
-	group           conc.WaitGroup
-	over            atomic.Bool
-	mu              sync.Mutex
-	members         []*member
-	names           int
-	version         int
-	failures        []string
+	store    *site.Store
+	entries  []*entry
+	callers  []*caller
+	group    conc.WaitGroup
+	over     atomic.Bool
+	mu       sync.Mutex
+	members  []*member
+	names    int
+	version  int
+	failures []string
 }
 
 func (w *world) ended() bool { return w.over.Load() }
--- a/internal/stand/site/server.go
+++ b/internal/stand/site/server.go
@@ -52,7 +52,6 @@
 	killed  bool
 	// loses is the part of the answers that are lost after the run, out of 100.
 	loses int
-	count int
 }
 
 // grant is a range of keys that was granted, or released where until is the zero time.
@@ -145,8 +144,7 @@
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	if target := r.Header.Get("Target-Instance"); target != "" && target != s.options.ID {
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		misdirect(w)
 		return
 	}
 	switch r.URL.Path {
@@ -159,6 +157,12 @@
 	}
 }
 
+// misdirect answers a request for another server or for a key that this one does not hold.
+func misdirect(w http.ResponseWriter) {
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusMisdirectedRequest)
+}
+
 func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
 	var g grant
 	if err := json.NewDecoder(r.Body).Decode(&g); err != nil {
@@ -244,8 +248,7 @@
 	}
 	s.runs = append(s.runs, run)
 	s.working[run] = struct{}{}
-	s.count++
-	return run, s.count%100 < s.loses
+	return run, len(s.runs)%100 < s.loses
 }
 
 func (s *Server) end(run *Run, answered bool) {
@@ -261,8 +264,7 @@
 	w.Header().Set("Request-Id", id)
 	run, lose := s.begin(r)
 	if run == nil {
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		misdirect(w)
 		return
 	}
 	time.Sleep(s.options.Work)
--- a/internal/stand/site/store.go
+++ b/internal/stand/site/store.go
@@ -7,7 +7,7 @@
 //
 //	store, err := site.NewStore()
 //	defer store.Close()
-//	server, err := site.NewServer(site.ServerOptions{ID: "s-1", Service: "ledger", Partitioned: true})
+//	server, err := site.NewServer(site.ServerOptions{ID: "s-1", Service: "ledger"})
 //	defer server.Kill()
 //	store.Put("servers", "s-1", server.Entry(server.Address(), "ready"))
 package site
