pkg/shard: A later server at its address ends a holder's run

Four servers of the service with keys crash, and from 7.7 s servers of another service have their addresses. The decider saw only servers of services with keys, and took only a new run under the same ID as proof of an end. So the keys waited for the longest hold from the takeover of a new leader.

Change: the decider is told of the servers of all other services. A holder that is no longer listed has ended if a later one, by its start time, has its address.

--- a/pkg/shard/balance_test.go
+++ b/pkg/shard/balance_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -17,7 +18,8 @@
 type cluster struct {
 	decider *shard.Decider
 	now     time.Time
-	// unresponsive is a server that does not answer grants, empty if all answer.
+	servers []assign.Server
+	// unresponsive is a server that does not answer orders, empty if all answer.
 	unresponsive assign.ServerID
 }
 
@@ -27,14 +29,13 @@
 		decider: shard.NewDecider(shard.Config{Hold: 4 * time.Second, LongestHold: 10 * time.Second}),
 		now:     time.Unix(1000, 0),
 	}
-	var servers []assign.Server
 	table := shard.Table{NextFence: 11}
 	for i := range 10 {
 		s := assign.Server{
-			ID: assign.ServerID(fmt.Sprintf("s-%d", i)), Service: simService, Slots: 6,
+			ID: assign.ServerID(fmt.Sprintf("s-%d", i)), Service: simService, Slots: 6, Born: c.now.UnixMilli(),
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
 		}
-		servers = append(servers, s)
+		c.servers = append(c.servers, s)
 		last := uint16(i*6553 + 6552)
 		if i == 9 {
 			last = shard.LastKey
@@ -44,10 +45,15 @@
 		})
 	}
 	c.step(shard.Started{Tables: map[assign.ServiceID]shard.Table{simService: table}})
-	c.step(shard.Listed{Services: map[assign.ServiceID][]assign.Server{simService: servers}})
+	c.list(c.servers)
 	return c
 }
 
+// list reports the servers of the service, and others that belong to other services.
+func (c *cluster) list(servers []assign.Server, others ...assign.Server) {
+	c.step(shard.Listed{Services: map[assign.ServiceID][]assign.Server{simService: servers}, Others: others})
+}
+
 func (c *cluster) step(e shard.Event) {
 	for _, a := range c.decider.Step(c.now, e) {
 		switch a := a.(type) {
@@ -60,7 +66,11 @@
 			}
 			c.step(shard.Granted{Grant: a, Outcome: outcome})
 		case shard.Release:
-			c.step(shard.Released{Release: a, Outcome: shard.Done})
+			outcome := shard.Done
+			if a.Holder.Server == c.unresponsive {
+				outcome = shard.Lost
+			}
+			c.step(shard.Released{Release: a, Outcome: outcome})
 		}
 	}
 }
@@ -158,3 +168,45 @@
 		Expect(c.owner(3 * 6553)).NotTo(BeEquivalentTo("s-3"))
 	})
 })
+
+var _ = Describe("the keys of a server that is no longer listed", func() {
+	var c *cluster
+	var gone assign.Server
+	var left []assign.Server
+	key := uint16(3 * 6553)
+	isServed := func() bool {
+		r, _ := c.decider.View()[simService].Lookup(key)
+		return r.Open && r.Owner.Server != gone.ID
+	}
+	BeforeEach(func() {
+		c = newCluster()
+		c.unresponsive = "s-3"
+		gone = c.servers[3]
+		left = slices.Delete(slices.Clone(c.servers), 3, 4)
+	})
+
+	// Load pattern: crashed servers whose addresses soon belong to servers of another service. Their keys stayed without
+	// an owner for the longest hold time, because only a new run under the same ID proved the end of a run.
+	It("get a new owner at once if a later server of another service has its address", func() {
+		next := assign.Server{ID: "other-1", Service: "other", Address: gone.Address, Born: gone.Born + 3000}
+		c.list(left, next)
+		c.run(200*time.Millisecond, nil)
+		Expect(isServed()).To(BeTrue())
+	})
+
+	It("get a new owner at once if a later server of the same service has its address", func() {
+		next := assign.Server{ID: "s-10", Service: simService, Slots: 6, Address: gone.Address, Born: gone.Born + 3000}
+		c.list(append(left, next))
+		c.run(200*time.Millisecond, nil)
+		Expect(isServed()).To(BeTrue())
+	})
+
+	It("wait until the grants have lapsed if the server at its address is an earlier one", func() {
+		earlier := assign.Server{ID: "other-1", Service: "other", Address: gone.Address, Born: gone.Born - 3000}
+		c.list(left, earlier)
+		c.run(9*time.Second, nil)
+		Expect(isServed()).To(BeFalse())
+		c.run(2*time.Second, nil)
+		Expect(isServed()).To(BeTrue())
+	})
+})
--- a/pkg/shard/decider.go
+++ b/pkg/shard/decider.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -60,6 +61,8 @@
 	// lastPlan is the time of the last planning pass.
 	lastPlan  time.Time
 	storeDown bool
+	// latestBorn has the latest start time of the listed servers at each address, in Unix ms.
+	latestBorn map[netip.AddrPort]int64
 	// version increases with each change of the rows that View returns.
 	version uint64
 }
@@ -286,6 +289,11 @@
 	for _, s := range d.services {
 		s.listed = false
 	}
+	d.latestBorn = map[netip.AddrPort]int64{}
+	d.noteAddresses(e.Others)
+	for _, servers := range e.Services {
+		d.noteAddresses(servers)
+	}
 	for id, servers := range e.Services {
 		s := d.service(id)
 		s.listed = true
@@ -297,7 +305,7 @@
 			s.servers[a.ID] = a
 		}
 		for _, r := range s.rows {
-			s.dropEnded(now, r)
+			d.dropEnded(now, s, r)
 		}
 		s.pruneServers(now)
 	}
@@ -324,18 +332,28 @@
 	}
 }
 
-// dropEnded records that holders whose server has since started again hold no keys any more.
-func (s *service) dropEnded(now time.Time, r *row) {
-	r.priorOwners = slices.DeleteFunc(r.priorOwners, func(p *priorOwner) bool { return s.ended(p.Holder) })
-	if s.ended(r.Owner) {
+// noteAddresses adds servers to latestBorn.
+func (d *Decider) noteAddresses(servers []assign.Server) {
+	for _, a := range servers {
+		d.latestBorn[a.Address] = max(d.latestBorn[a.Address], a.Born)
+	}
+}
+
+// dropEnded records that holders whose run has ended hold no keys any more.
+func (d *Decider) dropEnded(now time.Time, s *service, r *row) {
+	r.priorOwners = slices.DeleteFunc(r.priorOwners, func(p *priorOwner) bool { return d.ended(s, p.Holder) })
+	if d.ended(s, r.Owner) {
 		r.heldUntil = now
 	}
 }
 
-// ended reports whether the list shows another run of the holder's server.
-func (s *service) ended(h Holder) bool {
-	a, ok := s.servers[h.Server]
-	return ok && a.Born != h.Born
+// ended reports whether the list proves that the holder's run has ended: it shows another run of its server, or no run
+// of it and a later one of any server at its address.
+func (d *Decider) ended(s *service, h Holder) bool {
+	if a, ok := s.servers[h.Server]; ok {
+		return a.Born != h.Born
+	}
+	return h.Born > 0 && d.latestBorn[h.Address] > h.Born
 }
 
 // eligible reports whether the holder may get keys.
--- a/pkg/shard/events.go
+++ b/pkg/shard/events.go
@@ -17,6 +17,9 @@
 // but no orders are sent for it.
 type Listed struct {
 	Services map[assign.ServiceID][]assign.Server
+	// Others are the servers of all other services. They get no keys, but a server at the address of a holder shows
+	// that the holder's run has ended.
+	Others []assign.Server
 }
 
 // Stored reports that the tables as of the Write with this number are stored.
