Count the lease of an earlier leader from its last heartbeat

The store is away from 18 s to 26 s and servers end meanwhile. The process that leads again at 26.1 s counted their grants from its takeover, though the last lease had ended at 19.4 s; the restart of all processes at 32 s began the wait once more. After the loss of a leader the others counted its lease from their first read of the record, 3.3 s after the loss, and seven of them wrote on the condition of an old version first. Reading the code showed a third fault: a leader that resigned led on until the answer to that write, while another one may have read the record and lead as well.

Change: the leader's answers carry the version of the record. A candidate counts the lease from when it first heard of or read the version, writes nothing on the condition of an older one, and tells the decider how late an earlier leader may have sent grants. A leader that resigns stops leading at once, and repeats the write if its outcome is unknown.

Load pattern: servers lost while the store is away, then a change of the leader. The tests of the resignation, the heartbeat and the lapsed grants fail on the code before.

--- a/internal/steer/control.go
+++ b/internal/steer/control.go
@@ -210,7 +210,7 @@
 			c.stepCandidate(c.options.Clock.Now(), leader.Resign{})
 		}
 		c.publish()
-		if c.stopping && !c.leads {
+		if c.stopping && !c.leads && !c.candidate.Resigning() {
 			return
 		}
 	}
--- a/internal/steer/follow.go
+++ b/internal/steer/follow.go
@@ -22,6 +22,9 @@
 	if e.err != nil || !e.answer.Leads || c.leads {
 		if e.err != nil && !c.leads && !c.leaderUnreachable {
 			c.leaderUnreachable = true
+			if c.mayCheckLeader() {
+				c.stepCandidate(now, leader.Refresh{})
+			}
 			c.options.Log.Warn().Err(e.err).Str("leader", c.candidate.Holder()).Msg("leader-unreachable")
 		}
 		return
@@ -32,7 +35,7 @@
 	}
 	a := e.answer
 	c.leaderAddress, c.lastLeaderAnswer = e.from, now
-	c.stepCandidate(now, leader.Heartbeat{Candidates: a.Processes})
+	c.stepCandidate(now, leader.Heartbeat{Candidates: a.Processes, Version: a.Record})
 	switch {
 	case !a.StoreAway && !a.Yields:
 		c.offeredSince = time.Time{}
@@ -62,6 +65,10 @@
 	c.acked.Store(&have)
 }
 
+// mayCheckLeader decides at random whether this process reads the record as soon as the leader does not answer. About
+// takeoverCandidates of all processes do so. The others wait until the candidate reads the record by itself.
+func (c *Control) mayCheckLeader() bool { return rand.IntN(max(1, c.processes)) < takeoverCandidates }
+
 func (c *Control) unpackConfig(now time.Time, a Answer) {
 	value, err := unpack(a.Config)
 	if err != nil {
--- a/internal/steer/lead.go
+++ b/internal/steer/lead.go
@@ -47,7 +47,7 @@
 	c.changeLog = newChangeLog()
 	c.changeLog.replace(c.servers.directory.Servers(), c.have.Servers)
 	c.setTarget(netip.AddrPort{})
-	c.stepDecider(now, shard.Started{Tables: c.record.Services})
+	c.stepDecider(now, shard.Started{Tables: c.record.Services, LastGrant: c.candidate.PredecessorEnd()})
 	c.updateDecider(now)
 }
 
@@ -262,6 +262,7 @@
 		Leads:      true,
 		Have:       c.published,
 		Processes:  c.processes,
+		Record:     c.candidate.Version(),
 		StoreAway:  c.storeFailing(now),
 		Yields:     c.yieldsTo(now, r.ask.Power),
 		Parked:     age(now, r.received),
--- a/internal/steer/talk.go
+++ b/internal/steer/talk.go
@@ -67,6 +67,8 @@
 	Have Versions
 	// Processes is the number of entry processes, the leader and its followers.
 	Processes int
+	// Record is the version of the record that the leader last wrote.
+	Record uint64
 	// StoreAway reports that the leader cannot reach the store and offers leadership to any follower that
 	// can. Yields reports that it offers leadership to this follower, because its VM is stronger. The leader
 	// continues to lead until a follower claims leadership with Ask.Claim and gets an answer with Ceded.
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -100,8 +100,12 @@
 // Missing reports that a Read found no record.
 type Missing struct{}
 
-// Heartbeat reports that the leader has confirmed that it leads, and how many candidates there are.
-type Heartbeat struct{ Candidates int }
+// Heartbeat reports that the leader has confirmed that it leads, how many candidates there are, and the Version of
+// the record that the leader last wrote, 0 if it is not known.
+type Heartbeat struct {
+	Candidates int
+	Version    uint64
+}
 
 // Refresh requests a read of the record even while heartbeats of the leader arrive.
 type Refresh struct{}
@@ -122,7 +126,8 @@
 // Failed reports that a Read failed or, if Write is set, that it is unknown whether a Write took effect.
 type Failed struct{ Write bool }
 
-// Resign makes the candidate give up leadership for good. A leader writes a record without a holder.
+// Resign makes the candidate give up leadership for good. A leader stops leading at once and writes a record without
+// a holder.
 type Resign struct{}
 
 // Tick carries only the time, for the actions that are due at regular intervals.
@@ -165,8 +170,11 @@
 	record  Record
 	version uint64
 	known   bool
-	// versionSince is when this candidate first read or wrote the version.
+	// versionSince is when this candidate first read or wrote the version, or heard of it from the leader.
 	versionSince time.Time
+	// heardVersion is the version in the leader's last heartbeat, and heardSince when this candidate first heard of it.
+	heardVersion uint64
+	heardSince   time.Time
 	// lastHeartbeat is the time of the leader's last heartbeat. The zero time lets the candidate read the record
 	// and take over without waiting for heartbeatTimeout.
 	lastHeartbeat time.Time
@@ -175,11 +183,15 @@
 	leading  bool
 	term     uint64
 	sequence uint64
+	// predecessorEnd is the result of PredecessorEnd for the current or the next term.
+	predecessorEnd time.Time
 	// unconfirmed maps the sequence of each write whose outcome is unknown to the time at which it was sent.
 	unconfirmed         map[uint64]time.Time
 	reading, writing    bool
 	nextRead, nextWrite time.Time
 	resigned            bool
+	// resigning is set while a leader that resigned has not stored a record without a holder.
+	resigning bool
 	// candidates is the number of candidates in the leader's last heartbeat.
 	candidates int
 	// refresh is set from a Refresh event until the read that it requests starts.
@@ -205,6 +217,13 @@
 // never had a lease or gave it up.
 func (c *Candidate) Expires() time.Time { return c.held.Expires() }
 
+// PredecessorEnd returns the latest time at which another process, or an earlier term of this one, may have led. It is
+// valid while this process leads.
+func (c *Candidate) PredecessorEnd() time.Time { return c.predecessorEnd }
+
+// Resigning reports whether this process has resigned as the leader and has yet to store that.
+func (c *Candidate) Resigning() bool { return c.resigning }
+
 // Version returns the version of the record as this candidate last read or wrote it.
 func (c *Candidate) Version() uint64 { return c.version }
 
@@ -226,16 +245,15 @@
 	case Missing:
 		c.handleMissing(now)
 	case Heartbeat:
-		c.lastHeartbeat = now
-		c.candidates = e.Candidates
+		c.handleHeartbeat(now, e)
 	case Refresh:
 		c.refresh = true
 	case Ceded:
 		c.cededVersion = e.Version
 		c.lastHeartbeat = time.Time{}
 	case Cede:
-		c.leading, c.known = false, false
-		c.held.Drop()
+		c.stopLeading(now)
+		c.known = false
 		c.nextRead = now.Add(c.config.Lease)
 	case Written:
 		c.writing = false
@@ -248,13 +266,37 @@
 	case Failed:
 		c.handleFailed(now, e)
 	case Resign:
+		c.resigning = c.leading && c.held.Valid(now)
 		c.resigned = true
+		c.stopLeading(now)
 		c.nextWrite = now
 	case Tick:
 	}
 	return c.nextActions(now)
 }
 
+func (c *Candidate) handleHeartbeat(now time.Time, e Heartbeat) {
+	c.lastHeartbeat = now
+	c.candidates = e.Candidates
+	if e.Version != c.heardVersion {
+		c.heardVersion, c.heardSince = e.Version, now
+	}
+	if e.Version != 0 && e.Version != c.version {
+		// A write on the condition of the version that this candidate has would be rejected.
+		c.known = false
+	}
+}
+
+// stopLeading ends the current term, if there is one, at the end of its lease or now.
+func (c *Candidate) stopLeading(now time.Time) {
+	if !c.leading {
+		return
+	}
+	c.leading = false
+	c.predecessorEnd = earlier(now, c.held.Expires())
+	c.held.Drop()
+}
+
 // readInterval returns the time between reads, which grows with the number of candidates.
 func (c *Candidate) readInterval() time.Duration {
 	return min(maxReadInterval, max(minReadInterval, time.Duration(c.candidates)*readIntervalPerCandidate))
@@ -263,7 +305,8 @@
 // handleMissing handles a read that found no record. The first time, the candidate only waits for a random time,
 // in which another candidate usually creates the record.
 func (c *Candidate) handleMissing(now time.Time) {
-	c.reading, c.leading = false, false
+	c.reading, c.resigning = false, false
+	c.stopLeading(now)
 	c.record, c.version = Record{}, 0
 	c.nextRead = now.Add(minReadInterval)
 	c.known = c.missing
@@ -280,11 +323,16 @@
 		c.handleWritten(now, e.Record.Sequence, e.Version)
 		return
 	}
-	if !c.known || e.Version != c.version {
+	if e.Version != c.version {
 		c.versionSince = now
+		if e.Version == c.heardVersion {
+			// The leader wrote the version before it sent the heartbeat, so its lease began before that.
+			c.versionSince = c.heardSince
+		}
 	}
 	if e.Record.Run != c.config.Run {
-		c.leading = false
+		c.stopLeading(now)
+		c.resigning = false
 	}
 	c.record, c.version, c.known = e.Record, e.Version, true
 }
@@ -298,8 +346,7 @@
 	c.nextWrite = sentAt.Add(c.config.Lease / renewalsPerLease)
 	if c.resigned {
 		c.record.Holder = ""
-		c.leading = false
-		c.held.Drop()
+		c.resigning = false
 		return
 	}
 	c.leading = true
@@ -336,7 +383,7 @@
 // nextActions gives up an expired lease and returns the read and the write that are due.
 func (c *Candidate) nextActions(now time.Time) []Action {
 	if c.leading && !c.held.Valid(now) {
-		c.leading = false
+		c.stopLeading(now)
 		c.known = false
 	}
 	var actions []Action
@@ -351,22 +398,22 @@
 }
 
 // readDue reports whether to read the record now. A leader reads it only if it is not known. The other
-// candidates also read it on request and when no heartbeats of the leader arrive.
+// candidates read it on request and when no heartbeats of the leader arrive.
 func (c *Candidate) readDue(now time.Time) bool {
 	if c.reading || c.writing || now.Before(c.nextRead) && !c.refresh {
 		return false
 	}
-	if c.leading {
+	if c.leading || c.resigning {
 		return !c.known
 	}
-	return !c.known || c.refresh || now.Sub(c.lastHeartbeat) >= heartbeatTimeout
+	return c.refresh || now.Sub(c.lastHeartbeat) >= heartbeatTimeout
 }
 
 // mayWrite reports whether this candidate may write the record: as the leader, or to take over from one
 // that has ceded, resigned or ended, or whose lease has lapsed.
 func (c *Candidate) mayWrite(now time.Time) bool {
 	if c.resigned {
-		return c.leading
+		return c.resigning
 	}
 	if c.leading {
 		return true
@@ -385,15 +432,21 @@
 		// The leader was this run or an earlier one on this VM, so no other process leads.
 		return true
 	}
-	return now.Sub(c.versionSince) >= lease.DefaultMargin.AddTo(c.config.Lease)+c.config.Delay
+	return !now.Before(c.leaseEnd().Add(c.config.Delay))
+}
+
+// leaseEnd returns the latest time at which the lease of the record's holder ends.
+func (c *Candidate) leaseEnd() time.Time {
+	return c.versionSince.Add(lease.DefaultMargin.AddTo(c.config.Lease))
 }
 
 // newWrite returns the next write and records when it was sent. A candidate that does not lead starts a
 // new term.
 func (c *Candidate) newWrite(now time.Time) Action {
 	c.sequence++
-	if !c.leading {
+	if !c.leading && !c.resigning {
 		c.term = c.record.Term + 1
+		c.predecessorEnd = earlier(now, c.leaseEnd())
 		c.nextWrite = now.Add(time.Duration(c.random.Int64N(int64(maxTakeoverJitter))))
 	}
 	c.writing = true
@@ -405,6 +458,14 @@
 	return Write{Record: r, IfVersion: c.version}
 }
 
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // RenewNow makes the leader write the record at the next Step instead of when the next renewal is due.
 func (c *Candidate) RenewNow(now time.Time) {
 	if c.leading && c.known {
--- a/pkg/leader/leader_test.go
+++ b/pkg/leader/leader_test.go
@@ -34,6 +34,8 @@
 	partitioned bool
 	// inbox holds the events that arrived while the member was suspended.
 	inbox []leader.Event
+	// led reports whether the member led after its last step.
+	led bool
 }
 
 // delivery is a call that is due at a simulated time.
@@ -55,6 +57,8 @@
 	violations []string
 	// terms has each term that was written.
 	terms map[uint64]bool
+	// lastLed is the last moment at which any member led.
+	lastLed time.Time
 }
 
 func newSim(seed uint64, members int) *sim {
@@ -71,6 +75,7 @@
 func (s *sim) start(m *member) {
 	m.run++
 	m.inbox = nil
+	m.led = false
 	m.candidate = leader.New(leader.Config{
 		Name: m.name, Run: fmt.Sprintf("%s/%d", m.name, m.run), Lease: testLease,
 	}, rand.New(rand.NewPCG(s.random.Uint64(), 2)))
@@ -93,7 +98,9 @@
 		}
 		return
 	}
-	for _, a := range m.candidate.Step(s.now, e) {
+	actions := m.candidate.Step(s.now, e)
+	s.checkPredecessor(m)
+	for _, a := range actions {
 		switch a := a.(type) {
 		case leader.Read:
 			s.read(m, run)
@@ -193,6 +200,45 @@
 		s.storeOK = !s.storeOK
 	case 4:
 		s.cede(m)
+	case 5:
+		s.stop(m)
+	}
+}
+
+// stop makes the member resign, and starts a new run of it a second later.
+func (s *sim) stop(m *member) {
+	run := m.run
+	s.step(m, run, leader.Resign{})
+	s.schedule(time.Second, func() {
+		if m.run == run {
+			s.start(m)
+		}
+	})
+}
+
+// sendHeartbeats sends a heartbeat of the leader to every other member, some of which do not arrive.
+func (s *sim) sendHeartbeats() {
+	for _, m := range s.members {
+		if m.suspended || !m.candidate.Leads(s.now) {
+			continue
+		}
+		heartbeat := leader.Heartbeat{Candidates: len(s.members), Version: m.candidate.Version()}
+		for _, other := range s.members {
+			run := other.run
+			if other != m && s.random.IntN(3) > 0 {
+				s.schedule(s.latency(), func() { s.step(other, run, heartbeat) })
+			}
+		}
+	}
+}
+
+// checkPredecessor checks what a run that begins to lead says of the last moment at which another one led.
+func (s *sim) checkPredecessor(m *member) {
+	led := m.led
+	m.led = m.candidate.Leads(s.now)
+	if m.led && !led && m.candidate.PredecessorEnd().Before(s.lastLed) {
+		s.violations = append(s.violations, fmt.Sprintf("at %s %s/%d takes %s for the end of its predecessor, which led at %s",
+			s.now.Format("05.000"), m.name, m.run, m.candidate.PredecessorEnd().Format("05.000"), s.lastLed.Format("05.000")))
 	}
 }
 
@@ -233,8 +279,13 @@
 			for _, m := range s.members {
 				s.step(m, m.run, leader.Tick{})
 			}
+			s.sendHeartbeats()
 		}
-		if l := s.leaders(); len(l) > 1 {
+		l := s.leaders()
+		if len(l) > 0 {
+			s.lastLed = s.now
+		}
+		if len(l) > 1 {
 			s.violations = append(s.violations, fmt.Sprintf("at %s more than one leader: %v", s.now.Format("05.000"), l))
 		}
 	}
@@ -242,7 +293,8 @@
 
 var _ = Describe("candidates", func() {
 	// Guards against two leaders at the same time, with lost and late reads and writes, members that are
-	// suspended, partitioned or restarted, and leaders that cede.
+	// suspended, partitioned, stopped or restarted, and leaders that cede. A leader that resigned led on until the
+	// answer to that write, while another candidate had read the record and led as well.
 	It("never lead at the same time", func() {
 		seeds := uint64(400)
 		if testing.Short() {
@@ -296,6 +348,43 @@
 		Expect(c.Step(now.Add(300*time.Millisecond), leader.Tick{})).To(ContainElement(HaveField("IfVersion", uint64(5))))
 	})
 
+	// Load pattern: the VM of the leader is lost, and keys lapse before another process leads. The record as the leader
+	// last described it has not changed, so its lease is counted from then and not from the first read.
+	It("count the lease of a lost leader from its last heartbeat with the version of the record", func() {
+		now := time.Unix(1000, 0)
+		c := leader.New(leader.Config{Name: "entry-1", Run: "r", Lease: testLease}, rand.New(rand.NewPCG(1, 1)))
+		c.Step(now, leader.Tick{})
+		c.Step(now, leader.Found{Record: leader.Record{Holder: "entry-2", Run: "q", Term: 1}, Version: 5})
+		heard := now.Add(10 * time.Second)
+		c.Step(heard, leader.Heartbeat{Candidates: 3, Version: 9})
+		c.Step(heard.Add(1300*time.Millisecond), leader.Tick{})
+		c.Step(heard.Add(1310*time.Millisecond), leader.Found{Record: leader.Record{Holder: "entry-2", Run: "q", Term: 1}, Version: 9})
+		Expect(c.Step(heard.Add(2*time.Second), leader.Tick{})).NotTo(ContainElement(BeAssignableToTypeOf(leader.Write{})))
+		Expect(c.Step(heard.Add(2200*time.Millisecond), leader.Tick{})).To(ContainElement(HaveField("IfVersion", uint64(9))))
+		c.Step(heard.Add(2210*time.Millisecond), leader.Written{Sequence: 1, Version: 10})
+		Expect(c.PredecessorEnd()).To(BeTemporally("~", heard.Add(testLease), 200*time.Millisecond))
+	})
+
+	// Guards against a leader whose resignation gets no answer and which gives up then, so that the others wait for
+	// its lease.
+	It("write a resignation again if its outcome is unknown, without leading", func() {
+		now := time.Unix(1000, 0)
+		c := leader.New(leader.Config{Name: "entry-1", Run: "r", Lease: testLease}, rand.New(rand.NewPCG(1, 1)))
+		c.Step(now, leader.Tick{})
+		c.Step(now, leader.Found{Record: leader.Record{Run: "q", Term: 1}, Version: 5})
+		c.Step(now, leader.Written{Sequence: 1, Version: 6})
+		Expect(c.Leads(now)).To(BeTrue())
+		Expect(c.Step(now, leader.Resign{})).To(ContainElement(HaveField("Record.Holder", "")))
+		Expect(c.Leads(now)).To(BeFalse())
+		Expect(c.Resigning()).To(BeTrue())
+		Expect(c.Step(now, leader.Failed{Write: true})).To(ConsistOf(leader.Read{}))
+		now = now.Add(300 * time.Millisecond)
+		Expect(c.Step(now, leader.Found{Record: leader.Record{Holder: "entry-1", Run: "r", Term: 2, Sequence: 1}, Version: 6})).
+			To(ContainElement(HaveField("Record.Holder", "")))
+		c.Step(now, leader.Written{Sequence: 3, Version: 7})
+		Expect(c.Resigning()).To(BeFalse())
+	})
+
 	// Guards against candidates that do not back off while the store is unavailable: 80 processes made 1,400
 	// reads of the record, each of which is charged for, in an outage of 8 s.
 	It("back off while reads fail, and read at least every 2.5 s", func() {
--- a/pkg/shard/balance_test.go
+++ b/pkg/shard/balance_test.go
@@ -201,6 +201,17 @@
 		Expect(isServed()).To(BeTrue())
 	})
 
+	// Load pattern: servers end while the store is away, and the leader that decides once it is back counts their grants
+	// from the lease of the last leader, which ended long before.
+	It("get a new owner once the grants of the last leader have lapsed", func() {
+		c.step(shard.Started{Tables: c.decider.View(), LastGrant: c.now.Add(-8 * time.Second)})
+		c.list(left)
+		c.run(2500*time.Millisecond, nil)
+		Expect(isServed()).To(BeFalse())
+		c.run(1*time.Second, nil)
+		Expect(isServed()).To(BeTrue())
+	})
+
 	It("wait until the grants have lapsed if the server at its address is an earlier one", func() {
 		earlier := assign.Server{ID: "other-1", Service: "other", Address: gone.Address, Born: gone.Born - 3000}
 		c.list(left, earlier)
--- a/pkg/shard/decider.go
+++ b/pkg/shard/decider.go
@@ -252,13 +252,17 @@
 }
 
 // handleStarted replaces all state by the stored tables. Every owner in them, earlier ones included, may have got a
-// grant of the longest hold time just now.
+// grant of the longest hold time when an earlier leader sent its last ones.
 func (d *Decider) handleStarted(now time.Time, e Started) {
 	d.services = map[assign.ServiceID]*service{}
 	d.dirty = false
 	d.lastStored = d.lastWrite
 	d.lastPlan = time.Time{}
-	latestEnd := now.Add(clockMargin.AddTo(d.config.LongestHold))
+	lastArrival := now
+	if a := e.LastGrant.Add(GrantTimeout); !e.LastGrant.IsZero() && a.Before(now) {
+		lastArrival = a
+	}
+	latestEnd := lastArrival.Add(clockMargin.AddTo(d.config.LongestHold))
 	for id, t := range e.Tables {
 		s := d.service(id)
 		s.nextFence = t.NextFence
--- a/pkg/shard/events.go
+++ b/pkg/shard/events.go
@@ -11,7 +11,11 @@
 type Event interface{ event() }
 
 // Started reports that this process has become the leader and decides from now on, starting from the stored tables.
-type Started struct{ Tables map[assign.ServiceID]Table }
+type Started struct {
+	Tables map[assign.ServiceID]Table
+	// LastGrant is the latest time at which an earlier leader may have sent a grant, the zero time if unknown.
+	LastGrant time.Time
+}
 
 // Listed contains the current servers of each partitioned service. A service that is missing keeps its table,
 // but no orders are sent for it.
