pkg/shard: Give a hot key a server to itself, a fast one if there is one

Balancing skips a server whose load comes from a key that cannot be split, so its other keys stayed with it, and the key stayed with a slow server.

Load pattern: one key with most of its owner's requests. Both tests are red without the call.

--- a/pkg/shard/balance_test.go
+++ b/pkg/shard/balance_test.go
@@ -131,6 +131,39 @@
 		Expect(closed).To(BeZero())
 	})
 
+	Describe("a key that nearly fills its owner", func() {
+		// hotAndCold are requests for one key of the first server and for some of its other keys.
+		hotAndCold := []uint16{100, 100, 100, 2000, 4000, 6000}
+		// report reports 0.2 s of work a request, with which 6 slots run 30 requests a second, and less on the fast server.
+		report := func(c *cluster, fast assign.ServerID) {
+			work := map[assign.ServerID]shard.Work{}
+			for _, srv := range c.servers {
+				work[srv.ID] = shard.Work{Requests: 60, Time: 12 * time.Second}
+			}
+			if fast != "" {
+				work[fast] = shard.Work{Requests: 60, Time: 6 * time.Second}
+			}
+			c.step(shard.WorkDone{Service: simService, Work: work})
+		}
+
+		// Load pattern: one key with most requests of its owner. It cannot be split, so all keys of the owner stayed there.
+		It("gets a server to itself", func() {
+			c := newCluster()
+			report(c, "")
+			c.run(4*time.Second, hotAndCold)
+			for _, k := range []uint16{2000, 4000, 6000} {
+				Expect(c.owner(k)).NotTo(Equal(c.owner(100)))
+			}
+		})
+
+		It("moves to a server that is much faster", func() {
+			c := newCluster()
+			report(c, "s-7")
+			c.run(4*time.Second, hotAndCold)
+			Expect(c.owner(100)).To(BeEquivalentTo("s-7"))
+		})
+	})
+
 	// Guards against an owner whose queue stays full because one of its keys has too many requests, so that every
 	// request that it runs is late.
 	It("sheds the share of the requests for a key that exceeds what its owner can run", func() {
--- a/pkg/shard/plan.go
+++ b/pkg/shard/plan.go
@@ -215,15 +215,12 @@
 		keys, ok := s.pickRange(from, loads, min(excess, headroom))
 		if !ok {
 			// The load of a single key cannot be split. The other servers can still be balanced.
+			moves -= d.isolate(now, s, from, candidates, loads, moves)
 			sources = slices.DeleteFunc(sources, func(c *candidate) bool { return c == from })
 			continue
 		}
 		moves--
-		load := loads.sum(keys)
-		d.move(now, s, keys, to.Holder)
-		from.load -= load
-		to.load += load
-		to.rows++
+		d.moveLoad(now, s, from, to, keys, loads.sum(keys))
 	}
 }
 
--- a/pkg/shard/shed.go
+++ b/pkg/shard/shed.go
@@ -39,13 +39,18 @@
 // shedFor returns the value of Row.Shed for the rows of a server: the share of its requests to refuse, in units of
 // 1/ShedSteps.
 func (s *service) shedFor(c *candidate) uint8 {
-	perRequest := s.requestTimes.byServer[c.Server]
-	if perRequest <= 0 {
-		return 0
-	}
-	maxRate := float64(max(1, s.servers[c.Server].Slots)) / perRequest
-	if c.load <= overloadRatio*maxRate {
+	maxRate, ok := s.maxRate(c)
+	if !ok || c.load <= overloadRatio*maxRate {
 		return 0
 	}
 	return uint8(min(ShedSteps-1, math.Round(ShedSteps*(1-maxRate/c.load))))
 }
+
+// maxRate returns how many requests per second a server can run, and whether that is known.
+func (s *service) maxRate(c *candidate) (float64, bool) {
+	perRequest := s.requestTimes.byServer[c.Server]
+	if perRequest <= 0 {
+		return 0, false
+	}
+	return float64(max(1, s.servers[c.Server].Slots)) / perRequest, true
+}
