Refuse the excess for a hot key while it moves, and move it only if that pays

The key has ten times the requests that a server can run, its owner has a full queue, and the release of the move to a faster server waits for that queue. All its requests waited half their objective meanwhile, also those that the new owner cannot run. The wait for the first owners of keys compared only the number of servers.

Change: the part of a row that is to be refused is refused also while the row is closed. A hot key moves only if what a faster server runs more in 2 s exceeds what is lost while its running requests end. The set of servers has to stay the same before keys get their first owners.

Load pattern: one key with several times what any server can run. Tests: shed in part while the key moves (red before: the requests wait and end with reason-no-owner), and no move where requests are long (red before).

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -123,7 +123,7 @@
 		x.respondNotRun(ReasonNoServer, longRetryAfter)
 		return
 	}
-	x.service.countRequest()
+	x.service.countRequest(x.rule.Priority)
 	x.deadline = x.arrived.Add(x.timeout())
 	ctx, cancel := context.WithDeadline(ctx, x.deadline.Add(responseGrace))
 	defer cancel()
@@ -207,8 +207,14 @@
 // serveKey forwards the request to the owner of its key.
 func (x *exchange) serveKey(ctx context.Context, v *view.View) {
 	limit := x.arrived.Add(x.objectiveShare(ownerWaitShare))
+	shedDecided := false
 	for {
 		b, shed := x.service.owner(x.relay.options.Clock.Now(), v, x.requestMeta.Key)
+		if !shedDecided && x.service.shouldShed(x.rule.Priority, shed) {
+			x.respondNotRun(ReasonOverload, x.overloadRetry(shed))
+			return
+		}
+		shedDecided = true
 		if b == nil {
 			if v = x.nextView(ctx, v, limit); v == nil {
 				x.giveUp(ReasonNoOwner)
@@ -216,11 +222,6 @@
 			}
 			continue
 		}
-		if x.sends == 0 && x.service.shouldShed(x.rule.Priority, shed) {
-			x.lastServer = b.server.ID
-			x.respondNotRun(ReasonOverload, x.overloadRetry(shed))
-			return
-		}
 		started, sends := time.Now(), x.sends
 		meta, err := x.send(ctx, b)
 		if err == nil && !meta.NotRun {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -397,6 +397,29 @@
 		Expect(c.receive().StatusCode()).To(Equal(200))
 	})
 
+	// Load pattern: a key with more requests than any server can run moves to another server. All of its requests waited
+	// for the new owner, which can run only a part of them.
+	It("is shed in part while the key of an overloaded owner moves", func() {
+		f := newFixture()
+		s := newFakeServer(success)
+		f.addServer("s-1", ledger, s)
+		f.view.Tables = map[assign.ServiceID]shard.Table{ledger: {Rows: []shard.Row{{
+			Range: shard.Range{First: 0, Last: shard.LastKey}, Owner: shard.HolderOf(s.entry("s-1", ledger)),
+			Shed: shard.ShedSteps - 1,
+		}}}}
+		f.views.Publish(f.view)
+		c := f.dial()
+		refused := 0
+		for range 8 {
+			c.send("GET", "/ledger/1", "Shard-Key: 7\r\n", "")
+			if c.receive().StatusCode() == 503 {
+				refused++
+			}
+		}
+		Expect(refused).To(Equal(8))
+		Expect(strings.Count(f.log.String(), "reason-overload")).To(BeNumerically(">=", 4))
+	})
+
 	// Guards against requests for a busy key that all wait behind a full queue at its owner, where most of
 	// them are refused or answered too late.
 	It("is shed in part when the owner is overloaded, unless it is urgent", func() {
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -146,9 +146,10 @@
 }
 
 // countRequest counts a request that is not a retry, for the retry budget.
-func (s *service) countRequest() {
+func (s *service) countRequest(priority int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.leastUrgent = max(s.leastUrgent, priority)
 	s.retries.CountCall(s.options.Clock.Now())
 }
 
@@ -193,18 +194,16 @@
 }
 
 // owner returns the server that owns the key, and which fraction of its requests to shed, in units of
-// 1/shard.ShedSteps. The server is nil if the key has no owner that takes requests at present.
+// 1/shard.ShedSteps. The server is nil if the key has no owner that takes requests at present. Requests are shed then as
+// well, since the next owner can run no more of them than its load allows.
 func (s *service) owner(now time.Time, v *view.View, key uint16) (*backend, uint8) {
 	row, ok := v.Tables[s.id].Lookup(key)
 	if !ok || !row.Open {
-		return nil, 0
+		return nil, row.Shed
 	}
 	b := s.backend(row.Owner.Server, row.Owner.Address)
-	if b == nil || b.server.Born != row.Owner.Born {
-		return nil, 0
-	}
-	if s.drained(now, b) {
-		return nil, 0
+	if b == nil || b.server.Born != row.Owner.Born || s.drained(now, b) {
+		return nil, row.Shed
 	}
 	return b, row.Shed
 }
@@ -222,6 +221,5 @@
 func (s *service) shouldShed(priority int, shed uint8) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leastUrgent = max(s.leastUrgent, priority)
 	return priority == s.leastUrgent && rand.IntN(shard.ShedSteps) < int(shed)
 }
--- a/pkg/shard/balance_test.go
+++ b/pkg/shard/balance_test.go
@@ -156,6 +156,18 @@
 			}
 		})
 
+		It("stays where its running requests take longer to end than the move is worth", func() {
+			c := newCluster()
+			work := map[assign.ServerID]shard.Work{}
+			for _, srv := range c.servers {
+				work[srv.ID] = shard.Work{Requests: 60, Time: 120 * time.Second}
+			}
+			work["s-7"] = shard.Work{Requests: 60, Time: 60 * time.Second}
+			c.step(shard.WorkDone{Service: simService, Work: work})
+			c.run(4*time.Second, []uint16{100, 2000, 4000, 6000})
+			Expect(c.owner(100)).To(BeEquivalentTo("s-0"))
+		})
+
 		It("moves to a server that is much faster", func() {
 			c := newCluster()
 			report(c, "s-7")
--- a/pkg/shard/decider.go
+++ b/pkg/shard/decider.go
@@ -89,7 +89,7 @@
 	shedding map[assign.ServerID]bool
 	// lastBalance is the time of the last balancing.
 	lastBalance time.Time
-	// serversChanged is the time at which the number of listed servers last changed.
+	// serversChanged is the time at which the set of listed servers last changed.
 	serversChanged time.Time
 }
 
@@ -306,13 +306,14 @@
 	for id, servers := range e.Services {
 		s := d.service(id)
 		s.listed = true
-		if len(s.servers) != len(servers) {
-			s.serversChanged = now
-		}
-		s.servers = make(map[assign.ServerID]assign.Server, len(servers))
+		listed := make(map[assign.ServerID]assign.Server, len(servers))
 		for _, a := range servers {
-			s.servers[a.ID] = a
+			listed[a.ID] = a
 		}
+		if !maps.EqualFunc(s.servers, listed, sameRun) {
+			s.serversChanged = now
+		}
+		s.servers = listed
 		for _, r := range s.rows {
 			d.dropEnded(now, s, r)
 		}
@@ -341,6 +342,9 @@
 	}
 }
 
+// sameRun reports whether both entries are of the same run of a server.
+func sameRun(a, b assign.Server) bool { return HolderOf(a).sameRun(HolderOf(b)) }
+
 // noteAddresses adds servers to latestBorn.
 func (d *Decider) noteAddresses(servers []assign.Server) {
 	for _, a := range servers {
--- a/pkg/shard/hotkey.go
+++ b/pkg/shard/hotkey.go
@@ -10,9 +10,14 @@
 	isolationRatio = 0.75
 	// hotKeyShare is the share of a busy server's load above which a single key counts as the cause.
 	hotKeyShare = 0.5
-	// fasterRatio is the least ratio of the capacity of another server to that of the owner of a hot key at which the
-	// key moves to the other server.
-	fasterRatio = 1.25
+	// minSpeedUp is the least ratio of the capacity of another server to that of the owner of a hot key at which the key
+	// moves to the other server.
+	minSpeedUp = 1.25
+	// hotKeyHorizon is how long a key is expected to stay hot after it has moved.
+	hotKeyHorizon = 2 * time.Second
+	// queuedRequests is the expected wait for a busy server's running requests when it releases keys, as a multiple of
+	// its time per request.
+	queuedRequests = 3
 	// minIsolatedLoad is the load in requests per second below which a range stays with the owner of a hot key.
 	minIsolatedLoad = 0.5
 )
@@ -31,7 +36,7 @@
 		return 0
 	}
 	hot := Range{First: key, Last: key}
-	if to := fastest(candidates); to.capacity >= fasterRatio*from.capacity && to.load+load < to.capacity*from.utilization() {
+	if to := fastest(candidates); s.paysToMove(from, to) && to.load+load < to.capacity*from.utilization() {
 		d.moveLoad(now, s, from, to, hot, load)
 		return 1
 	}
@@ -46,6 +51,14 @@
 	return moved
 }
 
+// paysToMove reports whether a hot key should move to a faster server: what that server runs more within hotKeyHorizon
+// has to exceed what is lost while the key has no owner, because its running requests have to end first.
+func (s *service) paysToMove(from, to *candidate) bool {
+	speedUp := to.capacity / from.capacity
+	releaseTime := queuedRequests * s.requestTimes.byServer[from.Server]
+	return speedUp >= minSpeedUp && (speedUp-1)*hotKeyHorizon.Seconds() > releaseTime
+}
+
 // moveLoad moves keys and accounts for their load.
 func (d *Decider) moveLoad(now time.Time, s *service, from, to *candidate, keys Range, load float64) {
 	d.move(now, s, keys, to.Holder)
--- a/pkg/shard/plan.go
+++ b/pkg/shard/plan.go
@@ -21,7 +21,7 @@
 	// but at least minMoves.
 	minMoves       = 4
 	serversPerMove = 8
-	// settleTime is how long the number of listed servers must be unchanged before keys get their first owners.
+	// settleTime is how long the set of listed servers must be unchanged before keys get their first owners.
 	settleTime = 1500 * time.Millisecond
 	// initialRanges is the approximate number of ranges at the start, with at most maxInitialPerServer for each
 	// server. Busy keys are close to one another, so with few servers and one range for each, a few servers would
