relay: Bound a response without end by 8 MiB

Headers, interim responses and chunks were bounded already; a body was read up to 64 MiB, so that three of them fill the memory of a VM with 184 MB.

Change: the bound is 8 MiB. The table of what servers do to requests has endless bytes, headers, interim responses and bodies; each ends with 502 and one server asked, for a booking that is not repeated. These tests passed with the earlier bound as well, since they do not measure memory.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -55,8 +55,9 @@
 )
 
 const (
-	// maxResponseBytes is the largest response body that is accepted from a server.
-	maxResponseBytes = 64 << 20
+	// maxResponseBytes is the largest response body that is accepted from a server. A faulty server may send bytes without
+	// end, and several such bodies have to fit in the memory of a small VM.
+	maxResponseBytes = 8 << 20
 	// defaultTimeout is the timeout of a request if neither its caller nor its rule sets one.
 	defaultTimeout = 30 * time.Second
 	// responseGrace is how long past the deadline the relay waits for a response: the server has the same
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -77,6 +77,21 @@
 	c.Close()
 }
 
+// endless returns a responder that repeats a text after a beginning until the connection is closed.
+func endless(begin, text string) responder {
+	return func(c net.Conn, id string) {
+		if _, err := fmt.Fprintf(c, begin, id); err != nil {
+			return
+		}
+		block := []byte(strings.Repeat(text, 1+(64<<10)/len(text)))
+		for {
+			if _, err := c.Write(block); err != nil {
+				return
+			}
+		}
+	}
+}
+
 // unresponsive sends nothing and leaves the connection open.
 func unresponsive(net.Conn, string) {}
 
@@ -314,6 +329,11 @@
 		Entry("idempotent: closed connections up to the limit of attempts", "/history/1", []responder{disconnect, disconnect, success}, 502, 2, ""),
 		Entry("response to another request comes first", "/book/1", []responder{mismatched}, 200, 1, "hello"),
 		Entry("response body ends with the connection", "/book/1", []responder{untilClose}, 200, 1, "hello"),
+		Entry("endless bytes that are not HTTP", "/book/1", []responder{endless("%s", "x")}, 502, 1, ""),
+		Entry("endless header", "/book/1", []responder{endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n", "X-Filler: abc\r\n")}, 502, 1, ""),
+		Entry("endless interim responses", "/book/1", []responder{endless("HTTP/1.1 100 Continue\r\nRequest-Id: %s\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n")}, 502, 1, ""),
+		Entry("endless body without a length", "/book/1", []responder{endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\n\r\n", "x")}, 502, 1, ""),
+		Entry("endless chunked body", "/book/1", []responder{endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n")}, 502, 1, ""),
 		Entry("encoded response body", "/book/1", []responder{fullResponse(200, "Content-Encoding: gzip\r\n", "zip")}, 502, 1, ""),
 		Entry("not idempotent: successful response without a signature", "/book/1", []responder{fullResponse(200, "", "hello"), success}, 502, 1, ""),
 		Entry("idempotent: response without a signature, then succeeds", "/history/1", []responder{fullResponse(200, "", "other"), success}, 200, 2, "hello"),
