steer: Followers read the store as late as the bounds of the deployment allow

The store is silent to the leader from 17.5 s; it hands over at 18.7 s, when its knowledge is 1.4 s old. At that age all 294 followers read the whole list of about 1,000 servers, for which the store's link needs most of a second: 39 of them lost the store (the lists failed at their timeout of 0.8 s and were repeated 0.7 s later), the new leader needed 0.36 s for its first write and lost its lease at 20.8 s because another one failed. A follower that missed one list knew of a leaving server after 1.4 + 0.8 + 0.7 s and the time of the second list, with a bound of 3 s.

Change: the ages at which a follower reads are 0.7 of the drain time and 0.85 of the time for configurations, as the settings give them: with bounds of 2 s 1.4 s and 1.7 s as before, with 3 s 2.1 s and 2.55 s. At the first start of the whole system a process waits 4 s for the leader before it reads the configuration and the servers itself.

Load pattern: a change of the leader with hundreds of followers, and their first start. Both tests are red before (the age was fixed).

--- a/internal/steer/control.go
+++ b/internal/steer/control.go
@@ -154,9 +154,9 @@
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.candidate = leader.New(leader.Config{Name: o.Name, Run: c.run, Lease: leaderLease, Delay: o.electionDelay()}, rand.New(rand.NewPCG(run, rand.Uint64())))
 	c.decider = shard.NewDecider(shard.Config{Hold: min(grantLease, o.LongestHold), LongestHold: o.LongestHold})
-	// The leader has startupGrace to answer before this process reads the store itself.
-	deadline := o.Clock.Now().Add(startupGrace)
-	c.config.confirmedAt, c.servers.confirmedAt = deadline.Add(-maxConfigAge), deadline.Add(-maxServersAge)
+	// The leader has this long to answer before this process reads the store itself.
+	deadline := o.Clock.Now().Add(o.startupGrace())
+	c.config.confirmedAt, c.servers.confirmedAt = deadline.Add(-o.maxConfigAge()), deadline.Add(-o.maxServersAge())
 	c.have.Run = c.run
 	c.acked.Store(&Versions{})
 	c.follower = &follower{control: c, target: make(chan netip.AddrPort, 1)}
@@ -253,7 +253,7 @@
 		return
 	}
 	watch := c.leads && c.config.revision > 0
-	if !watch && !c.leads && (age(now, c.config.confirmedAt) < maxConfigAge || c.probing(now)) {
+	if !watch && !c.leads && (age(now, c.config.confirmedAt) < c.options.maxConfigAge() || c.probing(now)) {
 		return
 	}
 	c.config.reading = true
@@ -264,7 +264,7 @@
 	if c.servers.reading || now.Before(c.servers.nextRead) {
 		return
 	}
-	if !c.leads && (age(now, c.servers.confirmedAt) < maxServersAge || c.probing(now)) {
+	if !c.leads && (age(now, c.servers.confirmedAt) < c.options.maxServersAge() || c.probing(now)) {
 		return
 	}
 	c.servers.reading = true
--- a/internal/steer/follow_test.go
+++ b/internal/steer/follow_test.go
@@ -107,6 +107,36 @@
 		})
 	})
 
+	// Load pattern: the store is silent to the leader, which takes 1.4 s to hand over. All 294 followers read the whole
+	// list of servers meanwhile, the store's link was full for a second, and the new leader lost its lease.
+	It("reads the list itself only as late as the drain time allows", func() {
+		Expect(c.options.maxServersAge()).To(Equal(1400 * time.Millisecond))
+		c.options.DrainTime = 3 * time.Second
+		c.options.Objects = unreachableStore{}
+		clk.Advance(2 * time.Second)
+		c.pollServers(clk.Now())
+		Expect(c.servers.reading).To(BeFalse())
+		clk.Advance(200 * time.Millisecond)
+		c.pollServers(clk.Now())
+		Expect(c.servers.reading).To(BeTrue())
+	})
+
+	// Load pattern: the first start of hundreds of processes, in which the leader answers the last ones after more than a
+	// second. Each of them read the configuration and the whole list of servers, before there was any request.
+	It("waits longer for the leader at the first start of the whole system", func() {
+		o := c.options
+		o.Objects, o.FirstStart = unreachableStore{}, true
+		c = newControl(o)
+		clk.Advance(3 * time.Second)
+		c.pollServers(clk.Now())
+		c.pollConfig(clk.Now())
+		Expect(c.servers.reading || c.config.reading).To(BeFalse())
+		clk.Advance(1100 * time.Millisecond)
+		c.pollServers(clk.Now())
+		c.pollConfig(clk.Now())
+		Expect(c.servers.reading && c.config.reading).To(BeTrue())
+	})
+
 	// Guards against dropping a delta from a call whose request was slow, because it seems older than the list
 	// before it. When such a delta was lost, a server got requests 12 s after it had announced that it was leaving.
 	It("applies a delta that arrives with a slow call", func() {
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -23,6 +23,7 @@
 package steer
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/netip"
@@ -50,11 +51,17 @@
 	tickInterval = 100 * time.Millisecond
 	// listInterval is the time between two reads of the server list by the leader.
 	listInterval = 600 * time.Millisecond
-	// maxServersAge and maxConfigAge are the ages of a follower's data at which it reads the store itself.
-	maxServersAge = 1400 * time.Millisecond
-	maxConfigAge  = 1700 * time.Millisecond
-	// startupGrace is how long a new process waits for the leader before it reads the store itself.
-	startupGrace = 1200 * time.Millisecond
+	// serversAgeShare and configAgeShare are the ages of a follower's data at which it reads the store itself, as fractions
+	// of Options.DrainTime and Options.ConfigTime. The servers take longer to read. Most changes of the leader end before
+	// that, so that not all followers read the whole list at the same time.
+	serversAgeShare = 0.7
+	configAgeShare  = 0.85
+	// defaultChangeTime is the default of Options.DrainTime and Options.ConfigTime.
+	defaultChangeTime = 2 * time.Second
+	// startupGrace is how long a new process waits for the leader before it reads the store itself. firstStartupGrace
+	// applies at the first start of the whole system, when there are no requests yet and all processes start at once.
+	startupGrace      = 1200 * time.Millisecond
+	firstStartupGrace = 4 * time.Second
 	// transferAfter is how long all calls of the leader to the store must have failed before it transfers
 	// leadership to a follower that can read the record.
 	transferAfter = 400 * time.Millisecond
@@ -148,14 +155,38 @@
 	Views   *view.Publisher
 	// Power is the CPU power of the VM in cores, which may be a fraction, 0 if unknown.
 	Power float64
+	// FirstStart reports that the whole system starts for the first time.
+	FirstStart bool
 	// LongestHold is the maximum duration of a grant of keys.
 	LongestHold time.Duration
+	// DrainTime is how long after a server starts draining requests may be sent to it, and ConfigTime how long after a
+	// change of the configuration the earlier one may be used. Both are 2 s by default.
+	DrainTime  time.Duration
+	ConfigTime time.Duration
 	// Heartbeat is how often a server refreshes its entry in the store.
 	Heartbeat time.Duration
 	Clock     clock.Clock
 	Log       zerolog.Logger
 }
 
+// startupGrace returns how long this process waits for the leader after its start.
+func (o Options) startupGrace() time.Duration {
+	if o.FirstStart {
+		return firstStartupGrace
+	}
+	return startupGrace
+}
+
+// maxServersAge returns the age of the list of servers at which a follower reads it from the store.
+func (o Options) maxServersAge() time.Duration {
+	return time.Duration(serversAgeShare * float64(cmp.Or(o.DrainTime, defaultChangeTime)))
+}
+
+// maxConfigAge returns the age of the configuration at which a follower reads it from the store.
+func (o Options) maxConfigAge() time.Duration {
+	return time.Duration(configAgeShare * float64(cmp.Or(o.ConfigTime, defaultChangeTime)))
+}
+
 // electionDelay returns how much longer this process waits before it takes leadership.
 func (o Options) electionDelay() time.Duration {
 	if o.Power <= 0 {
--- a/pkg/shard/balance_test.go
+++ b/pkg/shard/balance_test.go
@@ -164,7 +164,7 @@
 			}
 			work["s-7"] = shard.Work{Requests: 60, Time: 60 * time.Second}
 			c.step(shard.WorkDone{Service: simService, Work: work})
-			c.run(4*time.Second, []uint16{100, 2000, 4000, 6000})
+			c.run(4*time.Second, hotAndCold)
 			Expect(c.owner(100)).To(BeEquivalentTo("s-0"))
 		})
 
