steer: A leader repeats its first failed reads of the store at once

Change: within the first second of failures a leader repeats a failed read after 0.1 s. Afterwards, and for followers, 0.7 s stay, since each call is charged for while the store is away.

Load pattern: many processes open connections to the store at once. The test is red before (0.7 s).

--- a/internal/steer/control.go
+++ b/internal/steer/control.go
@@ -296,12 +296,21 @@
 	}
 }
 
+// readRetryDelay returns the time from a failed read of the store to the next one. All followers depend on the reads of
+// the leader, which repeats the first failed ones quickly.
+func (c *Control) readRetryDelay(now time.Time) time.Duration {
+	if c.leads && age(now, c.failingSince) < quickRetryTime {
+		return quickRetryDelay
+	}
+	return storeRetryDelay
+}
+
 func (c *Control) handleConfigRead(now time.Time, e configRead) {
 	c.config.reading = false
 	c.trackStore(now, e.err)
 	if e.err != nil {
 		c.options.Log.Warn().Str("what", "config").Bool("watch", e.watch).Err(e.err).Msg("store-read-failed")
-		c.config.nextRead = now.Add(storeRetryDelay)
+		c.config.nextRead = now.Add(c.readRetryDelay(now))
 		// The store may no longer have the changes since the revision, so the next read is a list.
 		c.config.revision = 0
 		return
@@ -338,7 +347,7 @@
 	c.servers.reading = false
 	c.trackStore(now, e.err)
 	if e.err != nil {
-		c.servers.nextRead = now.Add(storeRetryDelay)
+		c.servers.nextRead = now.Add(c.readRetryDelay(now))
 		c.options.Log.Warn().Str("what", "servers").Err(e.err).Msg("store-read-failed")
 		return
 	}
--- a/internal/steer/follow_test.go
+++ b/internal/steer/follow_test.go
@@ -88,6 +88,19 @@
 		c.publish()
 		Expect(c.published.Run).NotTo(Equal(first))
 	})
+
+	// Load pattern: many processes open connections to the store at once, and one of the leader is dropped. It repeated
+	// the read of the servers after 0.7 s, while all followers went on with an older list.
+	It("repeats a failed read at once, unless the store has been away for long", func() {
+		c, clk := newTestControl()
+		c.leads = true
+		failed := serversRead{sent: clk.Now(), err: store.NewError(store.Down, store.List, "", nil)}
+		c.handleServersRead(clk.Now(), failed)
+		Expect(c.servers.nextRead.Sub(clk.Now())).To(Equal(quickRetryDelay))
+		clk.Advance(2 * time.Second)
+		c.handleServersRead(clk.Now(), failed)
+		Expect(c.servers.nextRead.Sub(clk.Now())).To(Equal(storeRetryDelay))
+	})
 })
 
 var _ = Describe("a follower", func() {
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -82,6 +82,9 @@
 	minLeadTime = 2 * time.Second
 	// storeRetryDelay is the time from a failed read of the store to the next one.
 	storeRetryDelay = 700 * time.Millisecond
+	// quickRetryDelay replaces storeRetryDelay for a leader until its calls have failed for quickRetryTime.
+	quickRetryDelay = 100 * time.Millisecond
+	quickRetryTime  = time.Second
 	// configWatchTimeout plus half of readTimeout is the deadline of the leader's watch of the configuration.
 	// store.Objects.Watch returns shortly before the deadline if nothing changes.
 	configWatchTimeout = 900 * time.Millisecond
