--- a/internal/steer/talk_test.go
+++ b/internal/steer/talk_test.go
@@ -1,7 +1,10 @@
 package steer
 
 import (
+	"math/rand/v2"
+	"net"
 	"net/netip"
+	"net/rpc"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -63,3 +66,37 @@
 		Expect(c.answer(now, followRequest{ask: Ask{From: weak, Power: 0.2}, received: now}).Rank).To(Equal(2))
 	})
 })
+
+var _ = Describe("the listener for calls of followers", func() {
+	// Guards against one malformed message that takes the whole process down, or ends the service for all others.
+	It("serves calls after bytes that are no calls", func() {
+		c, _ := newTestControl()
+		c.options.Address = netip.MustParseAddrPort("127.0.0.1:0")
+		server, err := listen(c)
+		Expect(err).NotTo(HaveOccurred())
+		defer server.listener.Close()
+		address := netip.MustParseAddrPort(server.listener.Addr().String())
+		random := rand.New(rand.NewPCG(1, 1))
+		for range 50 {
+			conn, err := net.Dial("tcp", address.String())
+			Expect(err).NotTo(HaveOccurred())
+			garbage := make([]byte, 1+random.IntN(200))
+			for i := range garbage {
+				garbage[i] = byte(random.Uint32())
+			}
+			_, err = conn.Write(garbage)
+			Expect(err).NotTo(HaveOccurred())
+			conn.Close()
+		}
+		client, err := dial(address)
+		Expect(err).NotTo(HaveOccurred())
+		defer closeClient(client)
+		var answer Answer
+		call := client.Go(rpcMethod, Ask{}, &answer, make(chan *rpc.Call, 1))
+		request, ok := (<-c.events).(followRequest)
+		Expect(ok).To(BeTrue())
+		request.answer <- Answer{Leads: true}
+		Expect((<-call.Done).Error).NotTo(HaveOccurred())
+		Expect(answer.Leads).To(BeTrue())
+	})
+})
