steer: Keep missing servers only if a call to the store failed

A list that was read more than two heartbeats after the last one counted as the first one after an outage, after which missing servers are kept for 2.4 s. The new leader's list was that late only because the leader had changed, and it gave the server back to those that knew better.

Change: missing servers are kept only if, besides the time, a call of this process to the store failed since its last list. The test is red before.

--- a/internal/steer/control.go
+++ b/internal/steer/control.go
@@ -56,6 +56,8 @@
 	lastStoreAnswer time.Time
 	// lastLeaderAnswer is when the leader last answered.
 	lastLeaderAnswer time.Time
+	// lastStoreFailure is when a call to the store last got no answer.
+	lastStoreFailure time.Time
 	// failingSince is since when all calls to the store have failed, the zero time if the last one did not.
 	failingSince time.Time
 	config       configState
@@ -293,6 +295,9 @@
 		// Reports that a call to the store failed after one that did not.
 		c.options.Log.Warn().Err(err).Msg("store-away")
 		c.failingSince = now
+		c.lastStoreFailure = now
+	default:
+		c.lastStoreFailure = now
 	}
 }
 
@@ -360,9 +365,7 @@
 		}
 		servers = append(servers, s)
 	}
-	if age(e.sent, c.servers.confirmedAt) >= missedHeartbeats*c.options.Heartbeat {
-		// Entries may have expired because servers could not reach the store either. If only this process
-		// could not reach it, the leader's updates have kept confirmedAt recent.
+	if c.entriesMayHaveExpired(e.sent) {
 		c.servers.directory.MarkStale()
 	}
 	c.servers.confirmedAt = e.sent
@@ -375,6 +378,15 @@
 	c.listDiverged = !c.leads
 }
 
+// entriesMayHaveExpired reports whether servers may be missing in a list that was read at the given time because they
+// could not reach the store either. A long time since the last list is not enough: this process may have had no reason to
+// read, or the leader may have been lost. If only this process could not reach the store, the leader's updates have kept
+// confirmedAt recent.
+func (c *Control) entriesMayHaveExpired(readAt time.Time) bool {
+	return age(readAt, c.servers.confirmedAt) >= missedHeartbeats*c.options.Heartbeat &&
+		c.lastStoreFailure.After(c.servers.confirmedAt)
+}
+
 // updateDecider passes the servers of the partitioned services to the decider.
 func (c *Control) updateDecider(now time.Time) {
 	if !c.leads || c.config.parsed == nil || !c.servers.directory.Known() {
--- a/internal/steer/follow_test.go
+++ b/internal/steer/follow_test.go
@@ -235,6 +235,20 @@
 		Expect(c.servers.directory.Servers()).To(HaveLen(2))
 	})
 
+	// Load pattern: the leader is lost or refused by the store, and the next list is read later than entries take to
+	// expire, although the store answered everyone else. A new leader kept a server that had left for another 2.4 s, and
+	// 267 processes that knew better took it back from the leader.
+	It("removes servers whose entries are missing if no call to the store failed since the last list", func() {
+		now := start.Add(3 * time.Second)
+		c.options.Formats.Server = func(o store.Object) (assign.Server, error) {
+			s := newServer(o.Name, false)
+			s.Address = netip.MustParseAddrPort("10.0.0.1:80")
+			return s, nil
+		}
+		c.handleServersRead(now, serversRead{sent: now, objects: []store.Object{{Name: "s-1"}}})
+		Expect(c.servers.directory.Servers()).To(HaveLen(1))
+	})
+
 	// Guards against treating the entries in the store as expired when only this process could not reach the store.
 	// Such a process took leadership and for 2.4 s kept a server that had gone, so that requests reached the server
 	// after its time to leave.
