relay: Name the overloaded owner again in the line of a refused request

Change: the line names the owner where there is one; the test of it is red before. The wait for the same set of servers before keys get their first owners has its test, missing so far. queuedRequests in pkg/shard is releaseFactor.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -178,6 +178,9 @@
 	for {
 		b, shed := x.service.owner(x.relay.options.Clock.Now(), v, x.requestMeta.Key)
 		if !shedDecided && x.service.shouldShed(x.rule.Priority, shed) {
+			if b != nil {
+				x.lastServer = b.server.ID
+			}
 			x.respondNotRun(ReasonOverload, x.overloadRetry(shed))
 			return
 		}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -472,6 +472,7 @@
 			c.send("GET", "/ledger/1", "Shard-Key: 7\r\n", "")
 			if r := c.receive(); r.StatusCode() == 503 {
 				refused++
+				Expect(f.log.String()).To(MatchRegexp(`"reason":"reason-overload".*"server":"s-1"`))
 				// Half of the load is excess, as much as the owner can run. So Retry-After is half of
 				// the objective of 300 ms.
 				Expect(string(r.Header.Peek("Retry-After"))).To(Equal("0.15"))
--- a/pkg/shard/balance_test.go
+++ b/pkg/shard/balance_test.go
@@ -202,6 +202,27 @@
 	})
 })
 
+var _ = Describe("the first owners of keys", func() {
+	// Guards against keys whose first owner is a server that has just come, while others still leave: the number of
+	// servers stays the same, but not the servers.
+	It("are chosen once the set of servers has stayed the same", func() {
+		c := newCluster()
+		servers := c.servers
+		c.step(shard.Started{})
+		for i := range 10 {
+			replacement := servers[i]
+			replacement.ID = assign.ServerID(fmt.Sprintf("n-%d", i))
+			servers = slices.Clone(servers)
+			servers[i] = replacement
+			c.list(servers)
+			c.run(300*time.Millisecond, nil)
+			Expect(c.decider.View()[simService].Rows).To(BeEmpty())
+		}
+		c.run(2*time.Second, nil)
+		Expect(c.decider.View()[simService].Rows).NotTo(BeEmpty())
+	})
+})
+
 var _ = Describe("an owner that does not answer orders", func() {
 	var c *cluster
 	// run advances the time, in which the server runs requests or does not.
--- a/pkg/shard/hotkey.go
+++ b/pkg/shard/hotkey.go
@@ -15,9 +15,8 @@
 	minSpeedUp = 1.25
 	// hotKeyHorizon is how long a key is expected to stay hot after it has moved.
 	hotKeyHorizon = 2 * time.Second
-	// queuedRequests is the expected wait for a busy server's running requests when it releases keys, as a multiple of
-	// its time per request.
-	queuedRequests = 3
+	// releaseFactor is how long a busy server is expected to take to release keys, as a multiple of its time per request.
+	releaseFactor = 3
 	// minIsolatedLoad is the load in requests per second below which a range stays with the owner of a hot key.
 	minIsolatedLoad = 0.5
 )
@@ -55,7 +54,7 @@
 // has to exceed what is lost while the key has no owner, because its running requests have to end first.
 func (s *service) paysToMove(from, to *candidate) bool {
 	speedUp := to.capacity / from.capacity
-	releaseTime := queuedRequests * s.requestTimes.byServer[from.Server]
+	releaseTime := releaseFactor * s.requestTimes.byServer[from.Server]
 	return speedUp >= minSpeedUp && (speedUp-1)*hotKeyHorizon.Seconds() > releaseTime
 }
 
