internal/body, relay: Bound the bodies of all responses by the memory of the process

Cause: a response could take 8 MiB whatever the memory was and however many came at once, in a buffer of up to 16 MiB that doubled; the runtime knew no limit, and large buffers stayed with the pool or, until its next request, with an idle caller.

Bodies are read by internal/body, which reserves before a buffer grows. Large buffers are freed, a response's memory as soon as it is sent.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphiredrum/samphiredrum/internal/body"
 	"github.com/samphiredrum/samphiredrum/internal/route"
 	"github.com/samphiredrum/samphiredrum/internal/view"
 	"github.com/samphiredrum/samphiredrum/internal/wire"
@@ -22,8 +23,8 @@
 )
 
 const (
-	// maxResponseBytes is the largest response body that is accepted from a server. A faulty server may send bytes without
-	// end, and several such bodies have to fit in the memory of a small VM.
+	// maxResponseBytes is the largest response body that is accepted from a server, since a faulty one may send bytes without
+	// end.
 	maxResponseBytes = 8 << 20
 	// defaultTimeout is the timeout of a request if neither its caller nor its rule sets one.
 	defaultTimeout = 30 * time.Second
@@ -56,14 +57,16 @@
 
 // exchange is one request with its response.
 type exchange struct {
-	relay       *Relay
-	request     *fasthttp.Request
-	response    *fasthttp.Response
-	arrived     time.Time
-	deadline    time.Time
-	requestMeta RequestMeta
-	rule        *route.Rule
-	service     *service
+	relay    *Relay
+	request  *fasthttp.Request
+	response *fasthttp.Response
+	// responseMemory is the memory of the response's body.
+	responseMemory *body.Reservation
+	arrived        time.Time
+	deadline       time.Time
+	requestMeta    RequestMeta
+	rule           *route.Rule
+	service        *service
 	// sends is the number of attempts that wrote bytes of the request, and runs is the number of attempts in
 	// which a server may have run it.
 	sends, runs int
@@ -279,7 +282,7 @@
 	x.lastServer = b.server.ID
 	var meta ResponseMeta
 	// Without a response, a limit in that of an earlier attempt must not count as heard again.
-	x.response.Reset()
+	x.resetResponse()
 	x.failedResponse = false
 	trip, err := b.pool.Do(ctx, x.request, x.response, wire.Hooks{
 		Before: func() error {
@@ -297,6 +300,7 @@
 			meta = o.Messages.ReadResponse(r)
 			return meta.ID == "" || meta.ID == x.requestMeta.ID
 		},
+		Reserve: x.responseMemory.Resize,
 	})
 	x.lastError = err
 	if trip.Wrote {
@@ -420,12 +424,18 @@
 // respond generates a response with a status and without a body.
 func (x *exchange) respond(status int, r Reason) {
 	x.reason = r
-	x.response.Reset()
+	x.resetResponse()
 	x.response.SetStatusCode(status)
 	x.response.Header.SetNoDefaultContentType(true)
 	x.relay.options.Messages.SetRequestID(x.response, x.requestMeta.ID)
 }
 
+// resetResponse empties the response and frees its memory.
+func (x *exchange) resetResponse() {
+	wire.ResetResponse(x.response)
+	x.responseMemory.Release()
+}
+
 // record updates the metrics for the finished request. It logs the request unless a server answered it
 // without an error at the first attempt.
 func (x *exchange) record() {
--- a/internal/relay/listen.go
+++ b/internal/relay/listen.go
@@ -177,7 +177,10 @@
 	defer cancel()
 	h := &handler{
 		conn: c, ctx: ctx,
-		exchange: exchange{relay: c.server.relay, request: request, response: response, arrived: time.Now()},
+		exchange: exchange{
+			relay: c.server.relay, request: request, response: response, arrived: time.Now(),
+			responseMemory: c.server.relay.options.Memory.Response(),
+		},
 	}
 	h.keepAlive = !request.ConnectionClose()
 	_ = c.net.SetReadDeadline(time.Time{})
@@ -292,6 +295,8 @@
 }
 
 func (h *handler) run() {
+	// The connection may be idle for long after the response, which must not hold memory then.
+	defer h.resetResponse()
 	h.serve(h.ctx)
 	h.record()
 	if h.reason == ReasonGone {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,6 +27,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphiredrum/samphiredrum/internal/body"
 	"github.com/samphiredrum/samphiredrum/internal/route"
 	"github.com/samphiredrum/samphiredrum/internal/view"
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
@@ -116,9 +117,11 @@
 	Limits *quota.Board
 	// Reserve reserves the time of a request to a server with a limit. It returns an error if no leader answers.
 	Reserve func(ctx context.Context, n quota.Notice, maxWait time.Duration) (quota.Reservation, error)
-	Clock   clock.Clock
-	Log     zerolog.Logger
-	Meter   *Meter
+	// Memory is the memory for the bodies of all requests and responses in flight.
+	Memory *body.Budget
+	Clock  clock.Clock
+	Log    zerolog.Logger
+	Meter  *Meter
 }
 
 // Relay forwards requests to servers. It is safe for concurrent use.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -20,6 +20,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphiredrum/samphiredrum/internal/body"
 	"github.com/samphiredrum/samphiredrum/internal/relay"
 	"github.com/samphiredrum/samphiredrum/internal/route"
 	"github.com/samphiredrum/samphiredrum/internal/view"
@@ -194,6 +195,9 @@
 	ledger   = assign.ServiceID("ledger")
 )
 
+// bodyMemory is the memory in bytes for the bodies that a relay holds.
+const bodyMemory = 32 << 20
+
 // fixture is a relay with a listener and the View that it works from.
 type fixture struct {
 	options relay.Options
@@ -249,7 +253,7 @@
 		Bounds: relay.Bounds{DrainTime: 2 * time.Second, RetryShare: 0.2, RetryBurst: 60, RetryWindow: 10 * time.Second},
 		Clock:  clock.System(), Log: zerolog.New(io.MultiWriter(GinkgoWriter, f.log)),
 		ObserveKey: func(assign.ServiceID, uint16) {}, ObserveRun: func(assign.ServiceID, assign.ServerID, time.Duration) {},
-		Meter: relay.NewMeter(prometheus.NewRegistry()),
+		Meter: relay.NewMeter(prometheus.NewRegistry()), Memory: body.NewBudget(bodyMemory),
 	}
 	f.startRelay()
 	return f
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -13,6 +13,8 @@
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
+
+	"github.com/samphiredrum/samphiredrum/internal/body"
 )
 
 const (
@@ -25,6 +27,8 @@
 	// maxSkippedResponses is the largest number of responses that one call reads until one belongs to its
 	// request.
 	maxSkippedResponses = 4
+	// maxPooledBytes is the largest body buffer that is left to the pool of buffers.
+	maxPooledBytes = 64 << 10
 	// idleMargin is how much earlier than the peer this process closes an idle connection, so that no
 	// request is sent while the peer closes it.
 	idleMargin = time.Second
@@ -62,7 +66,7 @@
 }
 
 func (c *conn) roundTrip(
-	ctx context.Context, request *fasthttp.Request, response *fasthttp.Response, match func(*fasthttp.Response) bool,
+	ctx context.Context, request *fasthttp.Request, response *fasthttp.Response, h Hooks,
 ) (RoundTrip, error) {
 	c.wrote = false
 	deadline, _ := ctx.Deadline()
@@ -71,7 +75,7 @@
 	}
 	stop := context.AfterFunc(ctx, c.interrupt)
 	trip := RoundTrip{Sent: c.options.Clock.Latest()}
-	err := c.exchange(ctx, request, response, match)
+	err := c.exchange(ctx, request, response, h)
 	trip.Wrote = c.wrote
 	trip.Answered = c.options.Clock.Now()
 	if !stop() && err == nil {
@@ -93,11 +97,11 @@
 }
 
 func (c *conn) exchange(
-	ctx context.Context, request *fasthttp.Request, response *fasthttp.Response, match func(*fasthttp.Response) bool,
+	ctx context.Context, request *fasthttp.Request, response *fasthttp.Response, h Hooks,
 ) error {
 	err := c.send(request)
 	if err == nil {
-		err = c.receiveMatching(request, response, match)
+		err = c.receiveMatching(request, response, h)
 	}
 	if err == nil {
 		return nil
@@ -122,14 +126,12 @@
 }
 
 // receiveMatching reads responses until one belongs to the request.
-func (c *conn) receiveMatching(
-	request *fasthttp.Request, response *fasthttp.Response, match func(*fasthttp.Response) bool,
-) error {
+func (c *conn) receiveMatching(request *fasthttp.Request, response *fasthttp.Response, h Hooks) error {
 	for range maxSkippedResponses {
-		if err := c.receive(request, response); err != nil {
+		if err := c.receive(request, response, h.Reserve); err != nil {
 			return err
 		}
-		if match == nil || match(response) {
+		if h.Match == nil || h.Match(response) {
 			c.applyKeepAlive(response)
 			return nil
 		}
@@ -155,8 +157,8 @@
 	c.idleTimeout = min(c.options.IdleTimeout, time.Duration(seconds)*time.Second-idleMargin)
 }
 
-func (c *conn) receive(request *fasthttp.Request, response *fasthttp.Response) error {
-	response.Reset()
+func (c *conn) receive(request *fasthttp.Request, response *fasthttp.Response, reserve func(int) bool) error {
+	ResetResponse(response)
 	response.SkipBody = request.Header.IsHead()
 	if err := c.receiveHeader(response); err != nil {
 		return err
@@ -165,21 +167,33 @@
 		return nil
 	}
 	length := response.Header.ContentLength()
-	if length < -1 {
+	if length == body.CloseDelimited {
 		if !c.options.AllowCloseDelimited {
 			return ErrCloseDelimited
 		}
 		response.SetConnectionClose()
 	}
-	if err := response.ReadBody(c.reader, c.options.BodyBytes); err != nil {
+	content, err := body.Read(c.reader, length, response.SwapBody(nil), body.Limit{Bytes: c.options.BodyBytes, Reserve: reserve})
+	response.SwapBody(content)
+	if err != nil {
 		return err
 	}
-	if length == -1 {
+	switch length {
+	case body.Chunked:
 		return response.Header.ReadTrailer(c.reader)
+	case body.CloseDelimited:
+		response.Header.SetContentLength(len(content))
 	}
 	return nil
 }
 
+// ResetResponse empties a response. It frees a large buffer instead of leaving it to the pool of buffers, where it would
+// stay in use for small bodies.
+func ResetResponse(r *fasthttp.Response) {
+	r.ReleaseBody(maxPooledBytes)
+	r.Reset()
+}
+
 func (c *conn) receiveHeader(response *fasthttp.Response) error {
 	for range maxInterimResponses {
 		if err := response.Header.Read(c.reader); err != nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -86,6 +86,9 @@
 	// Match reports whether a response belongs to the request. Other responses are skipped; after 4
 	// of them, Do returns an error. If Match is nil, every response matches.
 	Match func(*fasthttp.Response) bool
+	// Reserve is called before the buffer of the response's body grows to a size in bytes. If it returns false, the
+	// response is not read and Do returns an error. If Reserve is nil, every size up to Options.BodyBytes is allowed.
+	Reserve func(bytes int) bool
 	// After is called after the complete response was read. If it returns an error, the connection is
 	// closed and Do returns that error.
 	After func() error
@@ -150,7 +153,7 @@
 		p.release(c, true)
 		return RoundTrip{}, err
 	}
-	trip, err := c.roundTrip(ctx, request, response, h.Match)
+	trip, err := c.roundTrip(ctx, request, response, h)
 	if err == nil {
 		err = h.after()
 	}
