internal/wire, relay: Send a request once on each connection

Cause: the ID names a request, not an attempt. The rejected request was sent again on the connection that was used last, where the copy of the rejection was taken for the answer to the second attempt. Besides, an answer without an ID passed for the answer to any request.

Change: a request is sent once on each connection. An answer without an ID counts only as the first on its connection, which is closed after it; otherwise the outcome is unknown. A request without an ID gets a new connection. An answer to another request leaves no trace in the metadata when the right one does not come.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -70,6 +70,7 @@
 	// sends is the number of attempts that wrote bytes of the request, and runs is the number of attempts in
 	// which a server may have run it.
 	sends, runs int
+	attempts    wire.Attempts
 	lastServer  assign.ServerID
 	lastError   error
 	reason      Reason
@@ -296,13 +297,19 @@
 			o.Messages.SetTarget(&x.request.Header, b.server.ID, left)
 			return nil
 		},
-		Match: func(r *fasthttp.Response) bool {
+		Match: func(r *fasthttp.Response) wire.Match {
 			meta = o.Messages.ReadResponse(r)
-			return meta.ID == "" || meta.ID == x.requestMeta.ID
+			return x.match(meta)
 		},
-		Reserve: x.responseMemory.Resize,
+		Attempts:      &x.attempts,
+		NewConnection: x.requestMeta.ID == "",
+		Reserve:       x.responseMemory.Resize,
 	})
 	x.lastError = err
+	if err != nil {
+		// It may be of a response to another request.
+		meta = ResponseMeta{}
+	}
 	if trip.Wrote {
 		x.sends++
 		x.hearLimit(b, meta, err)
@@ -317,6 +324,17 @@
 	return meta, err
 }
 
+// match tells whether a response belongs to the last attempt of the request.
+func (x *exchange) match(m ResponseMeta) wire.Match {
+	switch m.ID {
+	case "":
+		return wire.Unnamed
+	case x.requestMeta.ID:
+		return wire.Own
+	}
+	return wire.Other
+}
+
 var (
 	errEncoded  = errors.New("the response has a content encoding, so its body was changed in transit")
 	errUnsigned = errors.New("the response has no server signature")
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -47,6 +47,8 @@
 	// idleTimeout is the longest time that the connection may be unused.
 	idleTimeout time.Duration
 	wrote       bool
+	// requests is the number of requests that were sent on the connection.
+	requests int
 }
 
 func newConn(n net.Conn, o Options) *conn {
@@ -69,6 +71,7 @@
 	ctx context.Context, request *fasthttp.Request, response *fasthttp.Response, h Hooks,
 ) (RoundTrip, error) {
 	c.wrote = false
+	c.requests++
 	deadline, _ := ctx.Deadline()
 	if err := c.SetDeadline(deadline); err != nil {
 		return RoundTrip{}, err
@@ -125,15 +128,24 @@
 	return c.writer.Flush()
 }
 
-// receiveMatching reads responses until one belongs to the request.
+// receiveMatching reads responses until one belongs to the request. A response that names no request is only accepted as
+// the first one on the connection, which is closed then: a later response would not be distinguishable from a copy.
 func (c *conn) receiveMatching(request *fasthttp.Request, response *fasthttp.Response, h Hooks) error {
-	for range maxSkippedResponses {
+	for skipped := range maxSkippedResponses {
 		if err := c.receive(request, response, h.Reserve); err != nil {
 			return err
 		}
-		if h.Match == nil || h.Match(response) {
+		switch h.match(response) {
+		case Own:
 			c.applyKeepAlive(response)
 			return nil
+		case Unnamed:
+			if c.requests > 1 || skipped > 0 {
+				return ErrUnnamed
+			}
+			response.SetConnectionClose()
+			return nil
+		case Other:
 		}
 		if response.ConnectionClose() {
 			return errors.New("the peer closed the connection after a response to another request")
@@ -142,6 +154,13 @@
 	return errors.New("the peer sent too many responses to other requests")
 }
 
+func (h Hooks) match(response *fasthttp.Response) Match {
+	if h.Match == nil {
+		return Own
+	}
+	return h.Match(response)
+}
+
 // applyKeepAlive sets the idle timeout by the Keep-Alive header of a response, if it has one, but not
 // above Options.IdleTimeout.
 func (c *conn) applyKeepAlive(response *fasthttp.Response) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -83,9 +83,14 @@
 	// Before is called once a connection is available, before the first byte is written. If it returns an
 	// error, nothing is written and Do returns that error.
 	Before func() error
-	// Match reports whether a response belongs to the request. Other responses are skipped; after 4
-	// of them, Do returns an error. If Match is nil, every response matches.
-	Match func(*fasthttp.Response) bool
+	// Match tells whether a response belongs to the request. After 4 responses to other requests, Do returns an error. If
+	// Match is nil, every response belongs to it.
+	Match func(*fasthttp.Response) Match
+	// Attempts has the earlier attempts to send a request, and gets this one. No connection carries a request twice, since
+	// a response that names it could belong to either attempt.
+	Attempts *Attempts
+	// NewConnection demands a connection on which no request was sent before.
+	NewConnection bool
 	// Reserve is called before the buffer of the response's body grows to a size in bytes. If it returns false, the
 	// response is not read and Do returns an error. If Reserve is nil, every size up to Options.BodyBytes is allowed.
 	Reserve func(bytes int) bool
@@ -145,7 +150,7 @@
 func (p *Pool) Do(
 	ctx context.Context, request *fasthttp.Request, response *fasthttp.Response, h Hooks,
 ) (RoundTrip, error) {
-	c, err := p.acquire(ctx)
+	c, err := p.acquire(ctx, h)
 	if err != nil {
 		return RoundTrip{}, err
 	}
@@ -153,6 +158,7 @@
 		p.release(c, true)
 		return RoundTrip{}, err
 	}
+	h.Attempts.add(c)
 	trip, err := c.roundTrip(ctx, request, response, h)
 	if err == nil {
 		err = h.after()
@@ -224,7 +230,7 @@
 	return d.DialContext(ctx, "tcp", p.address.String())
 }
 
-func (p *Pool) acquire(ctx context.Context) (*conn, error) {
+func (p *Pool) acquire(ctx context.Context, h Hooks) (*conn, error) {
 	// A call whose context has ended is not sent, even if a connection is available.
 	if err := ctx.Err(); err != nil {
 		return nil, err
@@ -232,7 +238,7 @@
 	if err := p.acquireSlot(ctx); err != nil {
 		return nil, err
 	}
-	c, err := p.takeIdle()
+	c, err := p.takeIdle(h)
 	if err == nil && c == nil {
 		c, err = p.open(ctx)
 	}
@@ -296,27 +302,37 @@
 	}
 }
 
-// takeIdle returns an idle connection that is still usable, or nil.
-func (p *Pool) takeIdle() (*conn, error) {
+// takeIdle returns the idle connection that was used last and may carry the request, or nil. Without one, it makes room
+// for a new connection.
+func (p *Pool) takeIdle(h Hooks) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, ErrClosed
 	}
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		c := p.idle[last]
-		p.idle[last] = nil
-		p.idle = p.idle[:last]
-		if p.isUsable(c) {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		usable := p.isUsable(c)
+		if usable && !h.mayUse(c) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
+		if usable {
 			p.busy[c] = struct{}{}
 			return c, nil
 		}
 		c.close()
 	}
+	if len(p.idle) > 0 && len(p.idle)+len(p.busy) >= p.maxCalls {
+		p.idle[0].close()
+		p.idle = slices.Delete(p.idle, 0, 1)
+	}
 	return nil, nil
 }
 
+// mayUse reports whether the request may be sent on a connection that was used before.
+func (h Hooks) mayUse(c *conn) bool { return !h.NewConnection && !h.Attempts.includes(c) }
+
 // isUsable reports whether an idle connection has not timed out, and the peer has neither closed it nor
 // sent anything on it. Without this check, a request written to a connection that the peer had closed
 // would have an unknown outcome.
