pkg/shard: Only an answer from its address ends the hold of a server, or the time

Cause: orders name a server and not its run. A renewal of the earlier run's grant reaches the new run, which takes it. The leader took another start in the list as proof that nobody holds the keys.

Change: no entry of the list ends a hold. Keys of an earlier run are released like those of any earlier owner; the new run answers. The same for another server at the address, whose later start proves nothing as clocks differ: its 421 does. Suspect and unresponsive servers are known by their run. Rows are joined once the higher fencing number is stored: without that, a later run took a lower number than an earlier one had.

--- a/internal/steer/control.go
+++ b/internal/steer/control.go
@@ -423,15 +423,12 @@
 			services[id] = nil
 		}
 	}
-	var others []assign.Server
 	for _, s := range c.servers.directory.Servers() {
 		if _, ok := services[s.Service]; ok {
 			services[s.Service] = append(services[s.Service], s)
-			continue
 		}
-		others = append(others, s)
 	}
-	c.stepDecider(now, shard.Listed{Services: services, Others: others, ReadAt: c.servers.confirmedAt})
+	c.stepDecider(now, shard.Listed{Services: services, ReadAt: c.servers.confirmedAt})
 }
 
 // publish publishes a new View if something changed.
--- a/pkg/shard/decider.go
+++ b/pkg/shard/decider.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -61,8 +60,6 @@
 	// lastPlan is the time of the last planning pass.
 	lastPlan  time.Time
 	storeDown bool
-	// latestBorn has the latest start time of the listed servers at each address, in Unix ms.
-	latestBorn map[netip.AddrPort]int64
 	// version increases with each change of the rows that View returns.
 	version uint64
 	// started is the event with which this process became the leader, at startedAt, and latestEnd is when the grants of
@@ -84,10 +81,10 @@
 	listed  bool
 	servers map[assign.ServerID]assign.Server
 	// unresponsive has the servers that did not answer a release, each with the time of the next release to it.
-	unresponsive map[assign.ServerID]time.Time
+	unresponsive map[Run]time.Time
 	// suspects has the servers that get no keys because they did not answer grants or have ended, each with the
 	// time until which it is suspect.
-	suspects     map[assign.ServerID]time.Time
+	suspects     map[Run]time.Time
 	usage        usage
 	requestTimes requestTimes
 	// lastActive has the time at which each server was last reported to have run requests.
@@ -129,6 +126,10 @@
 	pendingUntil time.Time
 	// handover is what an earlier owner returned with its release for the new owner.
 	handover string
+	// storedFence is the fencing number that the row is stored with as of the Write fenceWrite, if it is above Fence. See
+	// Decider.merge.
+	storedFence lease.Fence
+	fenceWrite  uint64
 }
 
 // priorOwner is an earlier owner of a row that may still hold some of its keys. Until the row is stored,
@@ -207,6 +208,7 @@
 		t := Table{NextFence: s.nextFence, Rows: make([]Row, len(s.rows))}
 		for i, r := range s.rows {
 			t.Rows[i] = r.Row
+			t.Rows[i].Fence = max(r.Fence, r.storedFence)
 			t.Rows[i].Prior = r.priorHolders()
 		}
 		if s.recovery != nil {
@@ -324,7 +326,7 @@
 func (d *Decider) service(id assign.ServiceID) *service {
 	s := d.services[id]
 	if s == nil {
-		s = &service{id: id, nextFence: 1, unresponsive: map[assign.ServerID]time.Time{}, suspects: map[assign.ServerID]time.Time{}, shedding: map[assign.ServerID]bool{}, lastActive: map[assign.ServerID]time.Time{}}
+		s = &service{id: id, nextFence: 1, unresponsive: map[Run]time.Time{}, suspects: map[Run]time.Time{}, shedding: map[assign.ServerID]bool{}, lastActive: map[assign.ServerID]time.Time{}}
 		d.services[id] = s
 	}
 	return s
--- a/pkg/shard/events.go
+++ b/pkg/shard/events.go
@@ -33,9 +33,6 @@
 // but no orders are sent for it.
 type Listed struct {
 	Services map[assign.ServiceID][]assign.Server
-	// Others are the servers of all other services. They get no keys, but a server at the address of a holder shows
-	// that the holder's run has ended.
-	Others []assign.Server
 	// ReadAt is when the list was read.
 	ReadAt time.Time
 }
@@ -126,7 +123,7 @@
 	// Fenced means that the server refused the order because it has seen a higher fencing number. The Decider
 	// handles a release with this outcome like a Lost one.
 	Fenced
-	// Ended means that the run of the server has ended: another server answered at its address.
+	// Ended means that no run of the server is at the address: another server answered there.
 	Ended
 	// Lost means that there was no usable answer. The server may still carry out the order later.
 	Lost
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -82,12 +82,12 @@
 func dueReleases(now time.Time, s *service, r *row) []Action {
 	var actions []Action
 	for _, p := range r.priorOwners {
-		if p.inFlight || now.Before(p.nextOrder) || now.Before(s.unresponsive[p.Server]) {
+		if p.inFlight || now.Before(p.nextOrder) || now.Before(s.unresponsive[runOf(p.Holder)]) {
 			continue
 		}
-		if _, ok := s.unresponsive[p.Server]; ok {
+		if _, ok := s.unresponsive[runOf(p.Holder)]; ok {
 			// A single release probes whether the server answers again. The other releases wait for its outcome.
-			s.unresponsive[p.Server] = now.Add(probeInterval)
+			s.unresponsive[runOf(p.Holder)] = now.Add(probeInterval)
 		}
 		p.inFlight = true
 		actions = append(actions, Release{Service: s.id, Range: r.Range, Holder: p.Holder, Fence: r.Fence})
@@ -135,7 +135,7 @@
 		d.scheduleWrite(r)
 	case Ended:
 		r.heldUntil = now
-		s.suspects[r.Owner.Server] = now.Add(suspectDuration)
+		s.suspects[runOf(r.Owner)] = now.Add(suspectDuration)
 	case Lost:
 		r.failures++
 		r.nextOrder = now.Add(retryInterval)
@@ -168,7 +168,7 @@
 func (s *service) suspectOwner(now time.Time, r *row) {
 	active := r.Open && now.Sub(s.lastActive[r.Owner.Server]) < activeWindow
 	if r.failures >= suspectThreshold && !active {
-		s.suspects[r.Owner.Server] = now.Add(suspectDuration)
+		s.suspects[runOf(r.Owner)] = now.Add(suspectDuration)
 	}
 }
 
@@ -194,10 +194,10 @@
 	p.inFlight = false
 	if e.Outcome == Lost || e.Outcome == Fenced {
 		p.nextOrder = now.Add(retryInterval)
-		s.unresponsive[p.Server] = now.Add(probeInterval)
+		s.unresponsive[runOf(p.Holder)] = now.Add(probeInterval)
 		return
 	}
-	delete(s.unresponsive, p.Server)
+	delete(s.unresponsive, runOf(p.Holder))
 	d.dropPriors(r, func(o *priorOwner) bool { return o == p })
 	if e.Handover != "" {
 		r.handover = e.Handover
--- a/pkg/shard/plan.go
+++ b/pkg/shard/plan.go
@@ -138,12 +138,12 @@
 
 // merge joins adjacent rows of the same owner, so that they are renewed together. The merged row keeps the higher of
 // their fencing numbers. It is above all fencing numbers that other servers had for the keys of either row, since every
-// row gets a number above all earlier ones.
+// row gets a number above all earlier ones. The stored rows have that number first: with the lower one, the next leader
+// would renew a grant that a later run of the owner takes, although an earlier run had the keys with the higher number.
 func (d *Decider) merge(s *service) {
 	merged := s.rows[:0]
 	for _, r := range s.rows {
-		if n := len(merged); n > 0 && d.stable(merged[n-1]) && d.stable(r) && merged[n-1].Owner.sameRun(r.Owner) &&
-			int(merged[n-1].Last)+1 == int(r.First) {
+		if n := len(merged); n > 0 && d.mayMerge(merged[n-1], r) && d.storeFence(merged[n-1], r) {
 			previous := merged[n-1]
 			previous.Last = r.Last
 			previous.Fence = max(previous.Fence, r.Fence)
@@ -160,6 +160,26 @@
 	s.rows = merged
 }
 
+// mayMerge reports whether two rows can be joined.
+func (d *Decider) mayMerge(previous, r *row) bool {
+	return d.stable(previous) && d.stable(r) && previous.Owner.sameRun(r.Owner) && int(previous.Last)+1 == int(r.First)
+}
+
+// storeFence reports whether both rows are stored with the higher of their fencing numbers or an even higher one. If they
+// are not, it has that number stored.
+func (d *Decider) storeFence(previous, r *row) bool {
+	fence := max(previous.Fence, r.Fence)
+	stored := true
+	for _, each := range []*row{previous, r} {
+		if max(each.Fence, each.storedFence) < fence {
+			each.storedFence, each.fenceWrite = fence, d.lastWrite+1
+			d.dirty = true
+		}
+		stored = stored && each.fenceWrite <= d.lastStored
+	}
+	return stored
+}
+
 // stable reports whether the row is open and neither an order, a retry, a move nor a write is outstanding for it.
 func (d *Decider) stable(r *row) bool {
 	return r.Open && !r.inFlight && r.failures == 0 && len(r.priorOwners) == 0 && !d.writePending(r)
--- a/pkg/shard/recover.go
+++ b/pkg/shard/recover.go
@@ -156,17 +156,12 @@
 	s.recovery.sweeps[runOf(h)] = w
 }
 
-// updateSweeps adds the listed servers, and drops holders whose run has ended.
-func (d *Decider) updateSweeps(s *service, readAt time.Time) {
+// updateSweeps adds the listed servers.
+func (s *service) updateSweeps(readAt time.Time) {
 	s.recovery.listed = s.recovery.listed || !readAt.Before(s.recovery.listedFrom)
 	for _, a := range s.servers {
 		s.addSweep(HolderOf(a))
 	}
-	for _, w := range s.recovery.sweeps {
-		if d.ended(s, w.holder) {
-			w.ranges = nil
-		}
-	}
 }
 
 // handleRestored makes a recovery that is not complete wait for the list again.
@@ -237,7 +232,7 @@
 		}
 		s.silent = append(s.silent, w.holder)
 		// A single release shows whether the server answers again.
-		s.unresponsive[w.holder.Server] = now
+		s.unresponsive[runOf(w.holder)] = now
 		for _, r := range s.rows {
 			if r.addPrior(w, c.until) {
 				d.bumpVersion(r)
--- a/pkg/shard/shard.go
+++ b/pkg/shard/shard.go
@@ -56,7 +56,9 @@
 // Width returns the number of keys in the range.
 func (r Range) Width() int { return int(r.Last) - int(r.First) + 1 }
 
-// Holder identifies one run of a server that holds keys or may hold them.
+// Holder identifies one run of a server that holds keys or may hold them. Orders reach whichever run of the server is at
+// the address: a later run there takes the grants of an earlier one, and answers its releases. Therefore the list of servers
+// never proves that a holder holds no keys any more. Only an answer from its address proves that, or the time.
 type Holder struct {
 	Server assign.ServerID `json:"server"`
 	// Born is the start time of the run in Unix ms, which distinguishes the runs of a server. See assign.Server.
@@ -70,7 +72,7 @@
 }
 
 // sameRun reports whether both are the same run of the same server.
-func (h Holder) sameRun(o Holder) bool { return h.Server == o.Server && h.Born == o.Born }
+func (h Holder) sameRun(o Holder) bool { return h == o }
 
 // Row assigns a range of keys to an owner.
 type Row struct {
