--- a/pkg/shard/balance_test.go
+++ b/pkg/shard/balance_test.go
@@ -556,7 +556,6 @@
 		c.run(1*time.Second, nil)
 		Expect(isServed()).To(BeTrue())
 	})
-
 })
 
 var _ = Describe("the keys of a server that has started again under its ID", func() {
