internal/disco: Ignore an entry of an earlier run that the present one soon replaces

Cause: any other start time in the list counted as the end of the run that was known.

Change: an entry of an earlier start than the known one is ignored for 2 s. If it is still there then, it is a new run on a VM whose clock is behind.

The test of a restored store expected such an entry to count at once; it counts 2 s later now, and the test checks both moments.

--- a/internal/disco/disco.go
+++ b/internal/disco/disco.go
@@ -28,6 +28,9 @@
 	// copyLifetime is how long after its return a store that came back from an older copy may list servers that have left.
 	// Their entries lapse after three heartbeat intervals of silence.
 	copyLifetime = 4500 * time.Millisecond
+	// staleEntryTime is how long an entry of an earlier run than the known one is ignored. The store may carry out a write of
+	// a run late, after the next run has registered. That one writes its entry again within a heartbeat interval.
+	staleEntryTime = 2 * time.Second
 	// departureMemory is how long a server that has left is remembered. A copy is a few seconds old.
 	departureMemory = 2 * time.Minute
 )
@@ -48,6 +51,9 @@
 	restored time.Time
 	// confirmed is the latest time at which the list is known to have been current.
 	confirmed time.Time
+	// earlier has the listed runs that started earlier than the known runs of their servers, each with the time at which it
+	// was first listed.
+	earlier map[run]time.Time
 	// leaving has the draining servers, each with the earliest time at which it may have begun to drain.
 	leaving map[run]time.Time
 }
@@ -122,6 +128,7 @@
 	if now.Sub(d.restored) < copyLifetime {
 		next = d.dropDeparted(next)
 	}
+	d.keepLaterRuns(now, next)
 	d.keepDraining(next)
 	if d.known && now.Sub(d.recovered) < RecoveryTime {
 		next = d.keepMissing(next)
@@ -194,6 +201,27 @@
 	})
 }
 
+// keepLaterRuns replaces the entries of earlier runs by the known ones, until they have been listed for staleEntryTime: a
+// new run on a VM whose clock is behind has an earlier start time too.
+func (d *Directory) keepLaterRuns(now time.Time, next []assign.Server) {
+	earlier := map[run]time.Time{}
+	for i, s := range next {
+		j, ok := slices.BinarySearchFunc(d.servers, s, compareID)
+		if !ok || s.Born >= d.servers[j].Born {
+			continue
+		}
+		since, listed := d.earlier[runOf(s)]
+		if !listed {
+			since = now
+		}
+		earlier[runOf(s)] = since
+		if now.Sub(since) < staleEntryTime {
+			next[i] = d.servers[j]
+		}
+	}
+	d.earlier = earlier
+}
+
 // keepDraining marks the servers that this process knows to be draining. A run that drains does not get ready again, so an
 // entry that says so is older.
 func (d *Directory) keepDraining(next []assign.Server) {
--- a/internal/disco/disco_test.go
+++ b/internal/disco/disco_test.go
@@ -53,9 +53,36 @@
 		Expect(d.Servers()).To(Equal([]assign.Server{draining, restarted}))
 		// An entry that is still there later has been written again.
 		d.Update(now.Add(7*time.Second), []assign.Server{a, b})
+		Expect(d.Servers()).To(Equal([]assign.Server{draining, restarted}))
+		d.Update(now.Add(9*time.Second), []assign.Server{a, b})
 		Expect(d.Servers()).To(Equal([]assign.Server{draining, b}))
 	})
 
+	// Guards against the end of a running server in the tables: the store carries out a write of its earlier run late.
+	It("ignores an entry of an earlier run that the present one soon replaces", func() {
+		present := a
+		present.Born = 5000
+		late := a
+		late.Born, late.Draining = 1000, true
+		d.Update(now, []assign.Server{present, b})
+		Expect(d.Update(now.Add(time.Second), []assign.Server{late, b})).To(BeFalse())
+		Expect(d.Update(now.Add(1900*time.Millisecond), []assign.Server{late, b})).To(BeFalse())
+		Expect(d.Servers()).To(Equal([]assign.Server{present, b}))
+		Expect(d.Update(now.Add(2*time.Second), []assign.Server{present, b})).To(BeFalse())
+		// Another late write counts anew.
+		Expect(d.Update(now.Add(6*time.Second), []assign.Server{late, b})).To(BeFalse())
+	})
+
+	// Guards against a new run that never gets requests, since the clock of its VM is behind that of its earlier run.
+	It("accepts a new run with an earlier start time once its entry has stayed", func() {
+		earlier, next := a, a
+		earlier.Born, next.Born = 5000, 3000
+		d.Update(now, []assign.Server{earlier, b})
+		Expect(d.Update(now.Add(time.Second), []assign.Server{next, b})).To(BeFalse())
+		Expect(d.Update(now.Add(3*time.Second), []assign.Server{next, b})).To(BeTrue())
+		Expect(d.Servers()).To(Equal([]assign.Server{next, b}))
+	})
+
 	// Guards against the removal of running servers after an outage of the store, in which their entries
 	// lapsed. The servers write them again within about 2 s.
 	It("keeps missing servers for a limited time after an outage of the store", func() {
