internal/front: Settings without a memory limit have the default memory

Cause: a process whose settings were built without MemoryBytes had a budget of 0 and a limit of the runtime of 0, so that the collector ran all the time.

Change: without the setting the budget is that of 256 MB and the runtime has no limit. The limit of the runtime is set by the command, since it holds for a whole program, which may run several processes in tests. The share for bodies is a half, so that a VM of 184 MB still takes a body of 64 MB.

--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -14,8 +15,13 @@
 	"github.com/samphiredrum/samphiredrum/platform"
 )
 
-// settingsPollInterval is the time between checks of the settings file, which may change without a SIGHUP.
-const settingsPollInterval = 2 * time.Second
+const (
+	// settingsPollInterval is the time between checks of the settings file, which may change without a SIGHUP.
+	settingsPollInterval = 2 * time.Second
+	// runtimeShare is the share of the process's memory above which the garbage collector runs more often. The rest holds
+	// the program and the buffers of sockets, which the Go runtime does not count.
+	runtimeShare = 0.75
+)
 
 // entryCommand returns the command that runs one entry process on the users' platform.
 func entryCommand() *cobra.Command {
@@ -39,6 +45,9 @@
 			}
 			signals := make(chan os.Signal, 4)
 			signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+			if settings.MemoryBytes > 0 {
+				debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * runtimeShare))
+			}
 			drops := &logs.Drops{}
 			log, flush := logs.NewBounded(c.OutOrStdout(), drops)
 			defer flush()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -15,7 +15,6 @@
 	"errors"
 	"net"
 	"net/netip"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,12 +43,11 @@
 	unreadyDelay = 2500 * time.Millisecond
 	// stopMargin is how long before the end of the stop time a stopping process closes what is left.
 	stopMargin = 300 * time.Millisecond
-	// runtimeShare is the share of the process's memory above which the garbage collector runs more often. The rest holds
-	// the program and the buffers of sockets, which the Go runtime does not count.
-	runtimeShare = 0.75
 	// bodyShare is the share of the process's memory for bodies of requests and responses. Buffers that were freed use
 	// memory too until they are collected.
-	bodyShare = 0.4
+	bodyShare = 0.5
+	// defaultMemoryBytes is the memory of the process if its settings do not say.
+	defaultMemoryBytes = 256 << 20
 	// stopPollInterval is the interval at which a stopping process checks for open connections.
 	stopPollInterval = 20 * time.Millisecond
 	// MetricsPath is the path of the metrics on the second port of Settings.FirstPort to LastPort.
@@ -94,7 +92,6 @@
 // Start starts an entry process. It counts dropped log lines in drops and exports the counts as metrics. It
 // returns an error of type ErrListen if it cannot listen for requests, readiness checks or metrics.
 func Start(s platform.Settings, log zerolog.Logger, drops *logs.Drops) (*Process, error) {
-	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * runtimeShare))
 	c := clock.System()
 	views := view.NewPublisher()
 	limits := quota.NewBoard()
@@ -143,7 +140,7 @@
 		ObserveRun:    p.control.CountRun,
 		Limits:        limits,
 		Reserve:       p.control.Reserve,
-		Memory:        body.NewBudget(int(float64(s.MemoryBytes) * bodyShare)),
+		Memory:        body.NewBudget(bodyBytes(s)),
 		Clock:         c,
 		Log:           logs.Sampled(log, drops),
 		Meter:         relay.NewMeter(registry),
@@ -173,6 +170,15 @@
 	}
 }
 
+// bodyBytes returns the memory for the bodies of requests and responses.
+func bodyBytes(s platform.Settings) int {
+	memory := s.MemoryBytes
+	if memory <= 0 {
+		memory = defaultMemoryBytes
+	}
+	return int(float64(memory) * bodyShare)
+}
+
 func relayBounds(b platform.Bounds) relay.Bounds {
 	return relay.Bounds{
 		DrainTime: b.DrainTime, RetryShare: b.RetryShare, RetryBurst: b.RetryBurst, RetryWindow: b.RetryWindow,
