internal/relay: Bodies of requests share the memory budget

Cause: a body of up to 64 MiB was read whatever the memory was.

Change: a body reserves memory before it is read, in all up to three quarters of the budget. What does not fit gets 503 with a time to return before it is read or sent on. The rest of a rejected request is read for 1 s, since closing a connection with unread bytes resets it and the caller may lose the answer.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -29,6 +29,10 @@
 	CloseDelimited = -2
 )
 
+// PooledBytes is the size in bytes of the largest buffer that is left to a pool of buffers. A larger one would stay in use for
+// small bodies.
+const PooledBytes = 64 << 10
+
 // minGrowth is the smallest size in bytes to which the buffer of a body of unknown length grows.
 const minGrowth = 4 << 10
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -60,13 +60,13 @@
 	relay    *Relay
 	request  *fasthttp.Request
 	response *fasthttp.Response
-	// responseMemory is the memory of the response's body.
-	responseMemory *body.Reservation
-	arrived        time.Time
-	deadline       time.Time
-	requestMeta    RequestMeta
-	rule           *route.Rule
-	service        *service
+	// requestMemory and responseMemory are the memory of the bodies.
+	requestMemory, responseMemory *body.Reservation
+	arrived                       time.Time
+	deadline                      time.Time
+	requestMeta                   RequestMeta
+	rule                          *route.Rule
+	service                       *service
 	// sends is the number of attempts that wrote bytes of the request, and runs is the number of attempts in
 	// which a server may have run it.
 	sends, runs int
@@ -448,8 +448,12 @@
 // be any for which the request has not run, not only ReasonRefused.
 func (x *exchange) respondNotRun(r Reason, after time.Duration) {
 	x.respond(fasthttp.StatusServiceUnavailable, r)
+	setRetryAfter(x.response, after)
+}
+
+func setRetryAfter(r *fasthttp.Response, after time.Duration) {
 	seconds := math.Round(after.Seconds()*1000) / 1000
-	x.response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(seconds, 'f', -1, 64))
+	r.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(seconds, 'f', -1, 64))
 }
 
 // respond generates a response with a status and without a body.
--- a/internal/relay/listen.go
+++ b/internal/relay/listen.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -13,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphiredrum/samphiredrum/internal/body"
 	"github.com/samphiredrum/samphiredrum/internal/route"
 )
 
@@ -31,6 +33,8 @@
 	bodyTimeout = 30 * time.Second
 	// writeTimeout is the longest time to write a response to a caller that reads slowly.
 	writeTimeout = 10 * time.Second
+	// discardTimeout is how long the rest of a rejected request is read.
+	discardTimeout = time.Second
 	// acceptBackoff is the delay after a failed accept, for example when no file descriptor is free.
 	acceptBackoff = 50 * time.Millisecond
 )
@@ -169,8 +173,10 @@
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
-	if status := c.read(request, limits); status != 0 {
+	memory := c.server.relay.options.Memory.Request()
+	if status := c.read(request, limits, memory); status != 0 {
 		c.reject(request, response, status)
+		freeRequest(request, memory)
 		return false
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -179,7 +185,7 @@
 		conn: c, ctx: ctx,
 		exchange: exchange{
 			relay: c.server.relay, request: request, response: response, arrived: time.Now(),
-			responseMemory: c.server.relay.options.Memory.Response(),
+			requestMemory: memory, responseMemory: c.server.relay.options.Memory.Response(),
 		},
 	}
 	h.keepAlive = !request.ConnectionClose()
@@ -217,24 +223,57 @@
 
 // read reads a whole request. It returns 0 if that succeeded, the status of the error response if the
 // request cannot be accepted, and -1 if the caller disconnected.
-func (c *conn) read(request *fasthttp.Request, limits route.Limits) int {
+func (c *conn) read(request *fasthttp.Request, limits route.Limits, memory *body.Reservation) int {
 	c.state.Store(connBusy)
 	_ = c.net.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	if err := request.Header.Read(c.reader); err != nil {
 		return headerStatus(err)
 	}
 	_ = c.net.SetReadDeadline(time.Now().Add(bodyTimeout))
+	length := request.Header.ContentLength()
+	switch {
+	case length > limits.BodyBytes:
+		return fasthttp.StatusRequestEntityTooLarge
+	case length > 0 && !memory.Resize(length):
+		return fasthttp.StatusServiceUnavailable
+	}
 	if request.MayContinue() {
 		if _, err := c.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return -1
 		}
 	}
-	if err := request.ContinueReadBody(c.reader, limits.BodyBytes, false); err != nil {
+	if err := c.readBody(request, length, body.Limit{Bytes: limits.BodyBytes, Reserve: memory.Resize}); err != nil {
 		return bodyStatus(err)
 	}
 	return 0
 }
 
+// readBody reads the body of a request with the given length.
+func (c *conn) readBody(request *fasthttp.Request, length int, l body.Limit) error {
+	if length == body.CloseDelimited {
+		// A request has no body then, and nothing is read.
+		return request.ContinueReadBody(c.reader, l.Bytes, false)
+	}
+	content, err := body.Read(c.reader, length, request.SwapBody(nil), l)
+	request.SwapBody(content)
+	if err != nil || length != body.Chunked {
+		return err
+	}
+	if err := request.Header.ReadTrailer(c.reader); err != nil {
+		return err
+	}
+	if len(content) == 0 {
+		request.Header.SetContentLength(0)
+	}
+	return nil
+}
+
+// freeRequest frees the body of a request and its memory.
+func freeRequest(request *fasthttp.Request, memory *body.Reservation) {
+	request.ReleaseBody(body.PooledBytes)
+	memory.Release()
+}
+
 func headerStatus(err error) int {
 	var small *fasthttp.ErrSmallBuffer
 	var timeout net.Error
@@ -252,8 +291,10 @@
 func bodyStatus(err error) int {
 	var timeout net.Error
 	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case errors.Is(err, body.ErrTooLarge):
 		return fasthttp.StatusRequestEntityTooLarge
+	case errors.Is(err, body.ErrNoMemory):
+		return fasthttp.StatusServiceUnavailable
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return fasthttp.StatusRequestTimeout
 	case isDisconnect(err):
@@ -262,16 +303,34 @@
 	return fasthttp.StatusBadRequest
 }
 
-// reject answers a request that could not be read. The caller of reject closes the connection.
+// reject answers a request that was not read whole. The caller of reject closes the connection.
 func (c *conn) reject(request *fasthttp.Request, response *fasthttp.Response, status int) {
 	if status < 0 {
 		return
 	}
 	response.SetStatusCode(status)
 	response.SetConnectionClose()
-	c.server.relay.options.Log.Info().Int("status", status).Str("peer", c.net.RemoteAddr().String()).
-		Str("target", string(request.Header.RequestURI())).Msg("request-unreadable")
+	options := c.server.relay.options
+	meta := options.Messages.ReadRequest(&request.Header)
+	if status == fasthttp.StatusServiceUnavailable {
+		options.Messages.SetRequestID(response, meta.ID)
+		setRetryAfter(response, longRetryAfter)
+	}
+	options.Log.Info().Int("status", status).Str("request", meta.ID).Str("peer", c.net.RemoteAddr().String()).
+		Str("target", string(request.Header.RequestURI())).Int("body-memory", options.Memory.Used()).Msg("request-unreadable")
 	c.write(response)
+	c.discard()
+}
+
+// discard reads what the caller still sends, for a limited time. Closing a connection with unread bytes resets it, and the
+// caller may lose the response then.
+func (c *conn) discard() {
+	if t, ok := c.net.(*net.TCPConn); ok {
+		_ = t.CloseWrite()
+	}
+	_ = c.net.SetReadDeadline(time.Now().Add(discardTimeout))
+	// The connection is closed whatever the outcome is.
+	_, _ = io.Copy(io.Discard, c.reader)
 }
 
 // write sends a response. It closes the connection if that fails.
@@ -286,6 +345,12 @@
 	}
 }
 
+// free frees the memory of the request and the response.
+func (h *handler) free() {
+	h.resetResponse()
+	freeRequest(h.request, h.requestMemory)
+}
+
 // handler processes one request of a connection.
 type handler struct {
 	exchange
@@ -296,7 +361,7 @@
 
 func (h *handler) run() {
 	// The connection may be idle for long after the response, which must not hold memory then.
-	defer h.resetResponse()
+	defer h.free()
 	h.serve(h.ctx)
 	h.record()
 	if h.reason == ReasonGone {
--- a/internal/relay/memory_test.go
+++ b/internal/relay/memory_test.go
@@ -84,3 +84,74 @@
 		Eventually(f.options.Memory.Used, time.Second).Should(BeZero())
 	})
 })
+
+var _ = Describe("the memory for requests", func() {
+	withLimit := func(bodyBytes int) *fixture {
+		f := newFixture()
+		f.view.Config.Limits.BodyBytes = bodyBytes
+		f.addServer("s-1", bookings, newFakeServer(unresponsive))
+		f.view.Config.Match("yards.example", "/book/1").Timeout = 2 * time.Second
+		return f
+	}
+
+	// Guards against a process that exceeds its memory and is ended because several callers send large bodies that are in
+	// order. What does not fit is rejected before it is sent on.
+	DescribeTable("rejects bodies that do not fit",
+		func(framing string) {
+			f := withLimit(64 << 20)
+			const size = 10 << 20
+			content := strings.Repeat("x", size)
+			var callers []*caller
+			for range 6 {
+				c := f.dial()
+				go fmt.Fprintf(c, "POST /book/1 HTTP/1.1\r\nHost: yards.example\r\nRequest-Id: r-1\r\nDeadline-Ms: 2000\r\n"+framing, size, content)
+				callers = append(callers, c)
+			}
+			statuses := map[int]int{}
+			for _, c := range callers {
+				response := c.receive()
+				statuses[response.StatusCode()]++
+				if response.StatusCode() == 503 {
+					Expect(response.Header.Peek("Retry-After")).NotTo(BeEmpty())
+					Expect(string(response.Header.Peek("Request-Id"))).To(Equal("r-1"))
+				}
+			}
+			// Three quarters of the memory are for requests. The others wait for the server until their timeout.
+			Expect(statuses).To(Equal(map[int]int{504: 2, 503: 4}))
+			Expect(f.options.Memory.Used()).To(BeNumerically("<=", bodyMemory))
+			Eventually(f.options.Memory.Used, "5s", "5ms").Should(BeZero())
+		},
+		Entry("with a length", "Content-Length: %d\r\n\r\n%s"),
+	)
+
+	// Guards against a chunked body that grows without a reservation.
+	It("bounds a body in chunks", func() {
+		f := withLimit(64 << 20)
+		c := f.dial()
+		chunk := fmt.Sprintf("%x\r\n%s\r\n", 1<<20, strings.Repeat("x", 1<<20))
+		fmt.Fprint(c, "POST /book/1 HTTP/1.1\r\nHost: yards.example\r\nRequest-Id: r-1\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for range 40 {
+			if _, err := fmt.Fprint(c, chunk); err != nil {
+				break
+			}
+			Expect(f.options.Memory.Used()).To(BeNumerically("<=", bodyMemory))
+		}
+		Expect(c.receive().StatusCode()).To(Equal(503))
+	})
+
+	// Guards against a caller that sends a body which is rejected in any case.
+	It("is asked for before a caller is told to go on", func() {
+		f := withLimit(64 << 20)
+		f.options.Memory.Request().Resize(bodyMemory * 3 / 4)
+		c := f.dial()
+		fmt.Fprint(c, "POST /book/1 HTTP/1.1\r\nHost: yards.example\r\nRequest-Id: r-1\r\nExpect: 100-continue\r\nContent-Length: 5000\r\n\r\n")
+		Expect(c.receive().StatusCode()).To(Equal(503))
+	})
+
+	It("leaves 413 to bodies that are larger than the configuration allows", func() {
+		f := withLimit(1000)
+		c := f.dial()
+		c.send("POST", "/book/1", "", strings.Repeat("x", 1001))
+		Expect(c.receive().StatusCode()).To(Equal(413))
+	})
+})
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -27,8 +27,6 @@
 	// maxSkippedResponses is the largest number of responses that one call reads until one belongs to its
 	// request.
 	maxSkippedResponses = 4
-	// maxPooledBytes is the largest body buffer that is left to the pool of buffers.
-	maxPooledBytes = 64 << 10
 	// idleMargin is how much earlier than the peer this process closes an idle connection, so that no
 	// request is sent while the peer closes it.
 	idleMargin = time.Second
@@ -206,10 +204,9 @@
 	return nil
 }
 
-// ResetResponse empties a response. It frees a large buffer instead of leaving it to the pool of buffers, where it would
-// stay in use for small bodies.
+// ResetResponse empties a response and frees a large buffer.
 func ResetResponse(r *fasthttp.Response) {
-	r.ReleaseBody(maxPooledBytes)
+	r.ReleaseBody(body.PooledBytes)
 	r.Reset()
 }
 
