internal/cmds: SIGHUP does not end a process that starts

Cause: the default action of the signal, until the command asked for it after it had read its settings.

Change: the signal is ignored from the first statement on.

Evidence: "a process that starts is not ended by SIGHUP" failed before (the process was ended while it read its settings from a named pipe) and passes now.

--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -26,7 +26,9 @@
 	"context"
 	"fmt"
 	"io"
+	"os/signal"
 	"strings"
+	"syscall"
 
 	"github.com/joomcode/errorx"
 	"github.com/spf13/cobra"
@@ -66,6 +68,8 @@
 // Execute runs the command in args, which do not include the name of the program, and returns the exit code. It writes
 // results to out and an error as one line to stderr.
 func Execute(ctx context.Context, args []string, out, stderr io.Writer) int {
+	// Until a command handles SIGHUP, which tells it to read its settings, the signal must not end the process.
+	signal.Ignore(syscall.SIGHUP)
 	root := rootCommand()
 	root.SetOut(out)
 	root.SetErr(stderr)
