--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -7,8 +7,8 @@
 //   - Loopback proxies delay, reset or silently drop connections, or drop only the answers.
 //   - Entry processes are killed, paused, stopped and reloaded by signals, and restarted when they end.
 //   - The store is down, slow, or loses the answers to writes. In some runs it comes back from an older copy.
-//   - Servers crash, leave, restart under the same name and lose answers. Every second server has a slow
-//     clock.
+//   - Servers crash, leave, restart under the same name, at the same address or another, and lose answers or send
+//     them again, late. Their entries are late too. Every second server has a slow clock.
 //   - The configuration changes.
 //
 // The test compares what callers received with what servers ran, and fails if a guarantee was violated.
--- a/internal/stand/site/server.go
+++ b/internal/stand/site/server.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -53,6 +54,8 @@
 	killed   bool
 	// lossPercent is the percentage of answers that are dropped after the request has run.
 	lossPercent int
+	// copyPercent is the percentage of answers that are sent again, and rejectPercent that of requests that are rejected.
+	copyPercent, rejectPercent int
 	// limit is the value of the field with the request rate that the server takes, empty for none.
 	limit string
 	// arrivals are the times at which requests arrived, those that were rejected included.
@@ -84,7 +87,7 @@
 
 func (s *Server) run() {
 	// Serve returns an error when Kill closes the server.
-	_ = s.server.Serve(s.listener)
+	_ = s.server.Serve(copyListener{s.listener, s})
 }
 
 // Kill closes the server and its connections at once, as the loss of its process would.
@@ -294,6 +297,13 @@
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	s.arrive(w)
+	// A body that cannot be read whole shows as a request without an answer.
+	_, _ = io.Copy(io.Discard, r.Body)
+	if s.drawReject() {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	run, loseAnswer := s.begin(r)
 	if run == nil {
 		misdirect(w)
