internal/steer: A control plane that fails ends its process in order

Cause: conc keeps a panic until Wait, which nobody calls while the process runs.

Change: each goroutine of the control plane reports a panic with its stack. The process is not ready from then on, answers what it has and ends with an error, so that the platform starts it again.

No input that causes a panic is known.

--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -55,9 +55,9 @@
 			if err != nil {
 				return err
 			}
-			f.watch(signals, process, log)
+			err = f.watch(signals, process, log)
 			process.Stop()
-			return nil
+			return err
 		},
 	}
 }
@@ -88,17 +88,19 @@
 	return err == nil && (!info.ModTime().Equal(f.modTime) || info.Size() != f.size)
 }
 
-// watch reloads the process on SIGHUP and when the settings file changes, and returns on any other signal. If the file
-// cannot be read or is invalid, the settings in force stay.
-func (f *settingsFile) watch(signals <-chan os.Signal, p *front.Process, log zerolog.Logger) {
+// watch reloads the process on SIGHUP and when the settings file changes, and returns on any other signal, or with an error if
+// the process has failed. If the file cannot be read or is invalid, the settings in force stay.
+func (f *settingsFile) watch(signals <-chan os.Signal, p *front.Process, log zerolog.Logger) error {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case s := <-signals:
 			if s != syscall.SIGHUP {
-				return
+				return nil
 			}
+		case <-p.Failed():
+			return ErrFailed.New("the process does not follow the platform any more; start it again and report its log line control-failed")
 		case <-ticker.C:
 			if !f.changed() {
 				continue
--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -55,6 +55,8 @@
 	ErrBroken = namespace.NewType("broken")
 	// ErrSettings is the error type for settings that are wrong or cannot be read.
 	ErrSettings = namespace.NewType("settings")
+	// ErrFailed is the error type for a process that ends because of an error in the program.
+	ErrFailed = namespace.NewType("failed")
 )
 
 // commands returns all commands of the program.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -225,12 +225,18 @@
 // Printf implements fasthttp.Logger.
 func (discardLogger) Printf(string, ...any) {}
 
+// Failed is closed when the process can't follow the platform any more because of an error in the program. It reports that it
+// is not ready then, and has to be stopped and started again.
+func (p *Process) Failed() <-chan struct{} { return p.control.Failed() }
+
 // ready answers the load balancer's readiness checks.
 func (p *Process) ready(c *fasthttp.RequestCtx) {
 	status := fasthttp.StatusOK
 	select {
 	case <-p.stopping:
 		status = fasthttp.StatusServiceUnavailable
+	case <-p.Failed():
+		status = fasthttp.StatusServiceUnavailable
 	default:
 		if string(c.Path()) != platform.ReadyPath || !p.relay.Ready() {
 			status = fasthttp.StatusServiceUnavailable
--- a/internal/steer/control.go
+++ b/internal/steer/control.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +32,8 @@
 	events    chan event
 	done      chan struct{}
 	stop      chan struct{}
+	failed    chan struct{}
+	failOnce  sync.Once
 	group     conc.WaitGroup
 	rpcServer *rpcServer
 	follower  *follower
@@ -145,8 +148,8 @@
 	if c.rpcServer, err = listen(c); err != nil {
 		return nil, err
 	}
-	c.group.Go(c.follower.run)
-	c.group.Go(c.loop)
+	c.start(c.follower.run)
+	c.start(c.loop)
 	return c, nil
 }
 
@@ -158,6 +161,7 @@
 		events:        make(chan event, queueLength),
 		done:          make(chan struct{}),
 		stop:          make(chan struct{}),
+		failed:        make(chan struct{}),
 		run:           strconv.FormatUint(run, 36),
 		servers:       serversState{directory: disco.New()},
 		load:          newLoadCounter(),
@@ -277,7 +281,7 @@
 		return
 	}
 	c.config.reading = true
-	c.group.Go(readConfig{control: c, watch: watch, after: c.config.revision}.run)
+	c.start(readConfig{control: c, watch: watch, after: c.config.revision}.run)
 }
 
 func (c *Control) pollServers(now time.Time) {
@@ -289,7 +293,7 @@
 	}
 	c.servers.reading = true
 	c.servers.nextRead = now.Add(listInterval)
-	c.group.Go(listServers{control: c}.run)
+	c.start(listServers{control: c}.run)
 }
 
 // probing reports whether calls to the store fail and the candidate keeps reading the record, because the
--- a/internal/steer/lead.go
+++ b/internal/steer/lead.go
@@ -17,7 +17,7 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case leader.Read:
-			c.group.Go(readRecord{control: c}.run)
+			c.start(readRecord{control: c}.run)
 		case leader.Write:
 			c.startRecordWrite(a)
 		}
@@ -74,10 +74,10 @@
 			c.writeDue = true
 			c.candidate.RenewNow(now)
 		case shard.Grant:
-			c.group.Go(sendGrant{control: c, grant: a}.run)
+			c.start(sendGrant{control: c, grant: a}.run)
 		case shard.Release:
 			c.logRelease(a)
-			c.group.Go(sendRelease{control: c, release: a}.run)
+			c.start(sendRelease{control: c, release: a}.run)
 		}
 	}
 	c.logRecovery(now)
@@ -105,7 +105,7 @@
 		c.options.Log.Error().Err(err).Msg("record-unwritable")
 		return
 	}
-	c.group.Go(writeRecord{control: c, record: r, value: value, deciderWrite: deciderWrite, ifVersion: w.IfVersion}.run)
+	c.start(writeRecord{control: c, record: r, value: value, deciderWrite: deciderWrite, ifVersion: w.IfVersion}.run)
 }
 
 func (c *Control) handleRecordWritten(now time.Time, e recordWritten) {
