relay: What a server says of its leaving and of a time to return binds the process

Change: both are kept for each run of a server. A leaving server gets no requests from the process while others can run them, and none that arrive later than four fifths of the drain time after the answer was heard, whatever the list says; requests that wait are checked again before they are sent. A server that named a time gets nothing until it is over: other servers are taken, or callers get 503 at once with that time, at most a third of what they have left. Only a complete answer to the request itself counts, and none that is misdirected or broken. Times that are no numbers or negative are ignored, the longest of several counts, an hour at most.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -27,6 +27,9 @@
 			if left < minTimeLeft {
 				return context.DeadlineExceeded
 			}
+			if x.service.turnsAway(o.Clock.Now(), x.arrived, b) {
+				return errTurnedAway
+			}
 			if !x.hasPermit(b) {
 				return errNoPermit
 			}
@@ -53,6 +56,9 @@
 	if err == nil {
 		err = checkResponse(x.response.StatusCode(), meta)
 		x.lastError = err
+		if err == nil || errors.Is(err, errUnproven) {
+			x.hearNotice(b, meta)
+		}
 	}
 	if trip.Wrote && (err != nil || !meta.NotRun) {
 		x.runs++
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -154,7 +154,7 @@
 			return
 		}
 		if b == nil {
-			x.giveUp(ReasonNoServer)
+			x.endWithoutServer(now)
 			return
 		}
 		if r := x.permit(ctx, b, 0); !r.Granted {
@@ -165,7 +165,7 @@
 		started := time.Now()
 		meta, err := x.send(ctx, b)
 		result := pick.Result{Latency: time.Since(started), Failed: err != nil || meta.NotRun}
-		if ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled) {
+		if errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, errTurnedAway) {
 			result.Ignore = true
 		}
 		if err == nil && !meta.NotRun && x.response.StatusCode() >= fasthttp.StatusInternalServerError {
@@ -199,6 +199,11 @@
 			}
 			continue
 		}
+		if wait := x.service.closedFor(x.relay.options.Clock.Now(), b); wait > 0 {
+			x.lastServer = b.server.ID
+			x.endLimited(quota.Reservation{RetryAfter: wait})
+			return
+		}
 		if r := x.permit(ctx, b, x.objectiveShare(permitWaitShare)); !r.Granted {
 			x.lastServer = b.server.ID
 			x.endLimited(r)
@@ -212,7 +217,7 @@
 		if x.finish(ctx, meta, err) {
 			return
 		}
-		if errors.Is(err, errNoPermit) {
+		if errors.Is(err, errNoPermit) || errors.Is(err, errTurnedAway) {
 			continue
 		}
 		if meta.Misdirected || x.sends == sends {
@@ -232,6 +237,15 @@
 	}
 }
 
+// endWithoutServer ends a request for which no server can be picked.
+func (x *exchange) endWithoutServer(now time.Time) {
+	if wait := x.service.allClosedFor(now); wait > 0 {
+		x.endLimited(quota.Reservation{RetryAfter: wait})
+		return
+	}
+	x.giveUp(ReasonNoServer)
+}
+
 func (x *exchange) objectiveShare(share float64) time.Duration {
 	return time.Duration(float64(x.rule.Objective) * share)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -68,6 +68,10 @@
 	Encoded bool
 	// Limit is the request rate that the server names.
 	Limit ServerLimit
+	// Leaving reports that the server is leaving.
+	Leaving bool
+	// RetryAfter is how long the server wants no more requests from this process, 0 if it does not say.
+	RetryAfter time.Duration
 }
 
 // ServerLimit is the request rate that a server names in a response.
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -61,6 +61,8 @@
 	retries  *limit.Quota
 	config   route.Service
 	backends map[assign.ServerID]*backend
+	// listed are the servers of the last View.
+	listed []assign.Server
 	// leastUrgent is the largest Priority, thus the least urgent one, of the requests so far.
 	leastUrgent int
 }
@@ -71,6 +73,7 @@
 	// during a run; other fields may be out of date.
 	server assign.Server
 	pool   *wire.Pool
+	notice notice
 }
 
 func newService(id assign.ServiceID, o Options, random *rand.Rand) *service {
@@ -105,6 +108,8 @@
 	for _, server := range listed {
 		b := s.backends[server.ID]
 		if b == nil || b.server.Address != server.Address || b.server.Born != server.Born {
+			// What an earlier run has said does not concern this one.
+			s.picker.Hold(server.ID, time.Time{})
 			b = &backend{server: server, pool: wire.New(server.Address, wire.Options{
 				BodyBytes:           maxResponseBytes,
 				IdleTimeout:         idleTimeout,
@@ -122,8 +127,8 @@
 			b.pool.Retire()
 		}
 	}
-	s.backends = next
-	s.picker.Update(now, listed)
+	s.backends, s.listed = next, listed
+	s.picker.Update(now, s.pickable())
 }
 
 // connectionLimit returns this process's share of the connections that a server accepts.
@@ -209,9 +214,8 @@
 func (s *service) drained(now time.Time, v *view.View, b *backend) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	limit := time.Duration(float64(s.bounds.DrainTime) * drainShare)
 	since, leaving := v.Leaving[b.server.ID]
-	return leaving && now.Sub(since) > limit
+	return leaving && now.Sub(since) > s.drainLimit() || s.hasLeft(now, b)
 }
 
 // shouldShed decides at random whether to refuse a request, where shed is the fraction to refuse in units of
