platform: Send a release on a kept connection, and take its handover as the proof

Cause: a full server lets a new connection wait for a slot, or resets it.

Change: a release takes an answer without an ID only with a handover, which no answer to a grant has; its connection is closed after it.

--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -143,6 +143,9 @@
 			}
 			response.SetConnectionClose()
 			return nil
+		case Final:
+			response.SetConnectionClose()
+			return nil
 		case Other:
 		}
 		if response.ConnectionClose() {
--- a/internal/wire/match.go
+++ b/internal/wire/match.go
@@ -20,6 +20,9 @@
 	// Unnamed means that the response names no request. Only the first response on a connection certainly belongs to its
 	// request then.
 	Unnamed
+	// Final means that the response belongs to the request although it does not name it. The connection is closed, since a
+	// copy of the response would belong to a later request just as well.
+	Final
 )
 
 // ErrUnnamed is returned for a response that names no request and may belong to an earlier one on its connection.
--- a/internal/wire/match_enumer.go
+++ b/internal/wire/match_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _MatchName = "ownotherunnamed"
+const _MatchName = "ownotherunnamedfinal"
 
-var _MatchIndex = [...]uint8{0, 3, 8, 15}
+var _MatchIndex = [...]uint8{0, 3, 8, 15, 20}
 
-const _MatchLowerName = "ownotherunnamed"
+const _MatchLowerName = "ownotherunnamedfinal"
 
 func (i Match) String() string {
 	if i < 0 || i >= Match(len(_MatchIndex)-1) {
@@ -27,23 +27,27 @@
 	_ = x[Own-(0)]
 	_ = x[Other-(1)]
 	_ = x[Unnamed-(2)]
+	_ = x[Final-(3)]
 }
 
-var _MatchValues = []Match{Own, Other, Unnamed}
+var _MatchValues = []Match{Own, Other, Unnamed, Final}
 
 var _MatchNameToValueMap = map[string]Match{
-	_MatchName[0:3]:       Own,
-	_MatchLowerName[0:3]:  Own,
-	_MatchName[3:8]:       Other,
-	_MatchLowerName[3:8]:  Other,
-	_MatchName[8:15]:      Unnamed,
-	_MatchLowerName[8:15]: Unnamed,
+	_MatchName[0:3]:        Own,
+	_MatchLowerName[0:3]:   Own,
+	_MatchName[3:8]:        Other,
+	_MatchLowerName[3:8]:   Other,
+	_MatchName[8:15]:       Unnamed,
+	_MatchLowerName[8:15]:  Unnamed,
+	_MatchName[15:20]:      Final,
+	_MatchLowerName[15:20]: Final,
 }
 
 var _MatchNames = []string{
 	_MatchName[0:3],
 	_MatchName[3:8],
 	_MatchName[8:15],
+	_MatchName[15:20],
 }
 
 // MatchString retrieves an enum value from the enum constants string name.
