pkg/shard: A renewal that ends after a move was stored does not put the release off

Cause: the outcome of a renewal sets the time of the next order of the earlier owner to a third of the hold time later, also if the row has been stored meanwhile and the next order is the release.

Change: the release is due at once then.

Evidence: "releases the keys at once when a renewal ends that was under way as the move was stored" failed before.

--- a/pkg/shard/balance_test.go
+++ b/pkg/shard/balance_test.go
@@ -605,3 +605,48 @@
 		Entry("an earlier one is listed", -3*time.Second),
 	)
 })
+
+var _ = Describe("a move", func() {
+	// Load pattern: a server drains just before another leader takes over, which renews its grants while the moves are being
+	// stored. The outcome of such a renewal put the release off for a third of the hold time; the server had left by then, and
+	// its keys had no owner for 9 s.
+	It("releases the keys at once when a renewal ends that was under way as the move was stored", func() {
+		c := newCluster()
+		holder := shard.HolderOf(c.servers[3])
+		decider := shard.NewDecider(shard.Config{Hold: 4 * time.Second, LongestHold: 10 * time.Second})
+		now := c.now
+		// step returns the last write, renewal and release of the drained server's keys.
+		step := func(e shard.Event) (write *shard.Write, renewal *shard.Grant, release *shard.Release) {
+			for _, a := range decider.Step(now, e) {
+				switch a := a.(type) {
+				case shard.Write:
+					write = &a
+				case shard.Grant:
+					if a.Owner == holder && a.Renewal {
+						renewal = &a
+					}
+				case shard.Release:
+					if a.Holder == holder {
+						release = &a
+					}
+				}
+			}
+			return write, renewal, release
+		}
+		step(shard.Started{Tables: c.decider.View()})
+		draining := slices.Clone(c.servers)
+		draining[3].Draining = true
+		step(shard.Listed{Services: map[assign.ServiceID][]assign.Server{simService: draining}})
+		now = now.Add(100 * time.Millisecond)
+		write, renewal, release := step(shard.Tick{})
+		Expect(write).NotTo(BeNil())
+		Expect(renewal).NotTo(BeNil())
+		Expect(release).To(BeNil())
+		now = now.Add(20 * time.Millisecond)
+		step(shard.Stored{Write: write.Number})
+		now = now.Add(100 * time.Millisecond)
+		_, _, release = step(shard.Granted{Grant: *renewal, Outcome: shard.Lost})
+		Expect(release).NotTo(BeNil())
+		Expect(release.Range).To(Equal(renewal.Range))
+	})
+})
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -107,7 +107,7 @@
 		return
 	}
 	if r.Fence != e.Grant.Fence || !r.Owner.sameRun(e.Grant.Owner) {
-		s.handleCurrentRenewal(now, r, e)
+		d.handleCurrentRenewal(now, r, e)
 		return
 	}
 	r.inFlight = false
@@ -143,14 +143,18 @@
 	}
 }
 
-// handleCurrentRenewal handles the outcome of a renewal by renewCurrent.
-func (s *service) handleCurrentRenewal(now time.Time, r *row, e Granted) {
+// handleCurrentRenewal handles the outcome of a renewal by renewCurrent. If the row has been stored meanwhile, the release of
+// its keys is due.
+func (d *Decider) handleCurrentRenewal(now time.Time, r *row, e Granted) {
 	for _, p := range r.priorOwners {
 		if p.fence != e.Grant.Fence || !p.sameRun(e.Grant.Owner) {
 			continue
 		}
 		p.inFlight = false
-		p.nextOrder = now.Add(e.Grant.Hold / renewalsPerHold)
+		p.nextOrder = now
+		if d.writePending(r) {
+			p.nextOrder = now.Add(e.Grant.Hold / renewalsPerHold)
+		}
 		switch e.Outcome {
 		case Done:
 			p.heldUntil = later(p.heldUntil, now.Add(clockMargin.AddTo(e.Grant.Hold)))
