internal/back: A body that is too large is named so again

The outcome was right (unknown), its reason was wrong-answer.

Change: the error of internal/body is recognised.

Evidence: the test failed before and passes now.

--- a/internal/back/error.go
+++ b/internal/back/error.go
@@ -7,8 +7,8 @@
 	"syscall"
 
 	"github.com/joomcode/errorx"
-	"github.com/valyala/fasthttp"
 
+	"github.com/samphiredrum/samphiredrum/internal/body"
 	"github.com/samphiredrum/samphiredrum/internal/wire"
 	"github.com/samphiredrum/samphiredrum/pkg/lease"
 )
@@ -188,7 +188,7 @@
 	switch {
 	case errors.Is(cause, errWrongID), errors.Is(cause, errNotJSON), errors.Is(cause, errBadStatus):
 		return WrongAnswer
-	case errors.Is(cause, fasthttp.ErrBodyTooLarge):
+	case errors.Is(cause, body.ErrTooLarge):
 		return TooLarge
 	case errors.Is(cause, context.DeadlineExceeded), errors.Is(cause, context.Canceled):
 		return Timeout
