internal/soak: A late write of an earlier run does not bring back a run that has ended

Cause, from the logs of the processes: s-3 was restarted twice at once, by a quick restart and by a restart at another address. After the late write of the earlier run the harness put back the entry that it had seen before, that of a run that had ended meanwhile, and for good, since entries of the stand-in store do not lapse. A live server writes its own entry again. The leader granted the key to the dead one. The harness was at fault, not the router.

Change: the harness puts back what was there just before the late write, and only if nobody has written since. The check is the same.

--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -205,11 +205,14 @@
 	if late == 0 {
 		return
 	}
-	present := p.harness.entryOf(b.ID())
 	time.Sleep(late)
+	present := p.harness.entryOf(b.ID())
 	p.harness.setEntry(b.ID(), earlier)
 	time.Sleep(heartbeat)
-	p.harness.setEntry(b.ID(), present)
+	// A later run may have registered meanwhile, or the entry may have lapsed.
+	if p.harness.entryOf(b.ID()) == earlier {
+		p.harness.setEntry(b.ID(), present)
+	}
 }
 
 func (p *faultPlan) addLedgerBackend(id string) {
