relay: Log the answers that were taken for the word that a request has not run

Callers saw requests that ran after a refusal, or ran twice. The log line of a request did not say on which answer the word 'not run' rested: its connection, what came on that connection before, and its header. So it could not tell an answer that is put together from two, a copy on the same or another connection, and an error of the process itself.

request-ended now has the field rejections. No logic changes.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -63,6 +63,9 @@
 	if trip.Wrote && (err != nil || !meta.NotRun) {
 		x.runs++
 	}
+	if err == nil && meta.NotRun {
+		x.rejections = append(x.rejections, rejection{server: b.server.ID, trip: trip, head: headText(x.response)})
+	}
 	return meta, err
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -58,9 +58,11 @@
 	// which a server may have run it.
 	sends, runs int
 	attempts    wire.Attempts
-	lastServer  assign.ServerID
-	lastError   error
-	reason      Reason
+	// rejections are the responses that say that the request has not run.
+	rejections []rejection
+	lastServer assign.ServerID
+	lastError  error
+	reason     Reason
 	// permitted is the server with a limit that this request may be sent to until permitUntil, nil for none.
 	permitted   *backend
 	permitUntil time.Time
--- a/internal/relay/respond.go
+++ b/internal/relay/respond.go
@@ -103,6 +103,9 @@
 	if !x.deadline.IsZero() {
 		e = e.Dur("left-ms", time.Until(x.deadline))
 	}
+	if len(x.rejections) > 0 {
+		e = e.Str("rejections", x.describeRejections())
+	}
 	e.AnErr("error", x.lastError).Msg("request-ended")
 }
 
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,9 +36,13 @@
 // pastDeadline is a deadline that makes every read and write fail immediately.
 var pastDeadline = time.Unix(1, 0)
 
+// lastConnection is the number of the connection that was opened last.
+var lastConnection atomic.Uint64
+
 // conn is a connection with its buffers. It records whether any byte of the current request was written.
 type conn struct {
 	net.Conn
+	number   uint64
 	options  Options
 	reader   *bufio.Reader
 	writer   *bufio.Writer
@@ -47,10 +52,12 @@
 	wrote       bool
 	// requests is the number of requests that were sent on the connection.
 	requests int
+	// skipped is the number of responses to other requests that were read since the current request.
+	skipped int
 }
 
 func newConn(n net.Conn, o Options) *conn {
-	c := &conn{Conn: n, options: o, idleTimeout: o.IdleTimeout}
+	c := &conn{Conn: n, number: lastConnection.Add(1), options: o, idleTimeout: o.IdleTimeout}
 	c.reader = bufio.NewReaderSize(n, readBufferSize)
 	c.writer = bufio.NewWriterSize(c, writeBufferSize)
 	return c
@@ -68,16 +75,16 @@
 func (c *conn) roundTrip(
 	ctx context.Context, request *fasthttp.Request, response *fasthttp.Response, h Hooks,
 ) (RoundTrip, error) {
-	c.wrote = false
+	c.wrote, c.skipped = false, 0
 	c.requests++
 	deadline, _ := ctx.Deadline()
 	if err := c.SetDeadline(deadline); err != nil {
 		return RoundTrip{}, err
 	}
 	stop := context.AfterFunc(ctx, c.interrupt)
-	trip := RoundTrip{Sent: c.options.Clock.Latest()}
+	trip := RoundTrip{Sent: c.options.Clock.Latest(), Connection: c.number, Position: c.requests}
 	err := c.exchange(ctx, request, response, h)
-	trip.Wrote = c.wrote
+	trip.Wrote, trip.Skipped = c.wrote, c.skipped
 	trip.Answered = c.options.Clock.Now()
 	if !stop() && err == nil {
 		// interrupt has run or is running and sets the connection's deadline, so it cannot be reused.
@@ -129,7 +136,7 @@
 // receiveMatching reads responses until one belongs to the request. A response that names no request is only accepted as
 // the first one on the connection, which is closed then: a later response would not be distinguishable from a copy.
 func (c *conn) receiveMatching(request *fasthttp.Request, response *fasthttp.Response, h Hooks) error {
-	for skipped := range maxSkippedResponses {
+	for ; c.skipped < maxSkippedResponses; c.skipped++ {
 		if err := c.receive(request, response, h.Reserve); err != nil {
 			return err
 		}
@@ -138,7 +145,7 @@
 			c.applyKeepAlive(response)
 			return nil
 		case Unnamed:
-			if c.requests > 1 || skipped > 0 {
+			if c.requests > 1 || c.skipped > 0 {
 				return ErrUnnamed
 			}
 			response.SetConnectionClose()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -76,6 +76,12 @@
 	// Answered is a reading of clock.Clock.Now after the exchange. Granters of leases use it, and so does
 	// the conversion of times to a server's clock.
 	Answered time.Time
+	// Connection is the number of the connection among those of this process.
+	Connection uint64
+	// Position is the number of requests that the connection has carried, with this one.
+	Position int
+	// Skipped is the number of responses to other requests that came before the response.
+	Skipped int
 }
 
 // Hooks are callbacks during a request. Nil hooks are skipped.
