--- a/internal/relay/copy_test.go
+++ b/internal/relay/copy_test.go
@@ -71,18 +71,19 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { l.Close() })
 	s.attempts, s.runs = map[string]int{}, map[string]int{}
-	acceptor := &copyAcceptor{server: s, listener: l}
+	acceptor := &connAcceptor{listener: l, serve: s.serve}
 	go acceptor.run()
 	return &fakeServer{listener: l}
 }
 
-type copyAcceptor struct {
-	server   *copyServer
+// connAcceptor calls serve for each connection.
+type connAcceptor struct {
 	listener net.Listener
+	serve    func(net.Conn)
 	group    conc.WaitGroup
 }
 
-func (a *copyAcceptor) run() {
+func (a *connAcceptor) run() {
 	for {
 		c, err := a.listener.Accept()
 		if err != nil {
@@ -90,7 +91,7 @@
 		}
 		a.group.Go(func() {
 			defer c.Close()
-			a.server.serve(c)
+			a.serve(c)
 		})
 	}
 }
--- a/internal/stand/site/copies.go
+++ b/internal/stand/site/copies.go
@@ -7,7 +7,10 @@
 	"sync"
 )
 
-// copyListener accepts connections on which some answers are sent again, late.
+// wholeCopyPercent is the percentage of copies of answers that are sent whole.
+const wholeCopyPercent = 50
+
+// copyListener accepts connections on which some answers are sent again, late, whole or cut at any byte.
 type copyListener struct {
 	net.Listener
 	server *Server
@@ -49,13 +52,21 @@
 	defer c.mu.Unlock()
 	n, err := c.Conn.Write(b)
 	if c.server.drawCopy() {
-		c.copied = bytes.Clone(b)
+		c.copied = bytes.Clone(b[:copyLength(len(b))])
 	}
 	return n, err
 }
 
-// CopyAnswers makes the server send the given percentage of its answers again, where the next answer on the connection is
-// expected.
+// copyLength draws how many bytes of an answer its copy has.
+func copyLength(length int) int {
+	if length == 0 || rand.IntN(100) < wholeCopyPercent {
+		return length
+	}
+	return 1 + rand.IntN(length)
+}
+
+// CopyAnswers makes the server send the given percentage of its answers again, whole or cut, where the next answer on the
+// connection is expected.
 func (s *Server) CopyAnswers(percent int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
