wire: Accept only headers that cannot be put together from two answers

Cause: the beginning of a copy of an earlier answer, cut anywhere, and the answer after it were read as one header: status and Not-Executed of the copy, Request-Id of the answer. The library accepts a status line in the middle of it: in the reason of the first one ('421 HTTP/1.1 200 OK') and in the value of a field ('Not-Executed:HTTP/1.1 200 OK'). Fields of a trailer were taken for those of the header too. So a request that ran had a proof that it had not. The same gave a success the signature of another one.

Change: the whole header is checked before it is parsed: one status line, then fields with a name of token characters and a value without control characters, no status line in any of them. Wherever the first answer is cut, the status line of the next one is in the way. A malformed answer proves nothing, and its connection ends. Trailers are checked, bounded and dropped. It holds for servers, orders, the store and 'serve', which share the pool.

--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -207,7 +207,7 @@
 	}
 	switch length {
 	case body.Chunked:
-		return response.Header.ReadTrailer(c.reader)
+		return skipTrailer(c.reader)
 	case body.CloseDelimited:
 		response.Header.SetContentLength(len(content))
 	}
@@ -222,6 +222,9 @@
 
 func (c *conn) receiveHeader(response *fasthttp.Response) error {
 	for range maxInterimResponses {
+		if err := checkHead(c.reader); err != nil {
+			return err
+		}
 		if err := response.Header.Read(c.reader); err != nil {
 			return err
 		}
