platform, relay: An answer whose fields contradict each other proves nothing

Cause: Not-Executed counted with any status and beside a signature, and of several IDs or signatures the first one was taken.

Evidence: five red specs of 'contradicts itself' (a signed rejection, a signed 421, a success that says that it has not run, two IDs, two signatures).

Change: such an answer is contradictory: the outcome is unknown, and its connection ends.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -71,10 +71,12 @@
 
 // match tells whether a response belongs to the last attempt of the request.
 func (x *exchange) match(m ResponseMeta) wire.Match {
-	switch m.ID {
-	case "":
+	switch {
+	case m.Contradictory:
+		return wire.Contradictory
+	case m.ID == "":
 		return wire.Unnamed
-	case x.requestMeta.ID:
+	case m.ID == x.requestMeta.ID:
 		return wire.Own
 	}
 	return wire.Other
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -64,6 +64,8 @@
 	Misdirected bool
 	// Signed reports that the response carries the signature of a server that ran the request.
 	Signed bool
+	// Contradictory reports that fields of the response contradict each other, so that it proves nothing.
+	Contradictory bool
 	// Encoded reports that the response has a content encoding, so its body was changed in transit.
 	Encoded bool
 	// Limit is the request rate that the server names.
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -153,6 +153,8 @@
 		case Final:
 			response.SetConnectionClose()
 			return nil
+		case Contradictory:
+			return ErrContradictory
 		case Other:
 		}
 		if response.ConnectionClose() {
--- a/internal/wire/match.go
+++ b/internal/wire/match.go
@@ -23,11 +23,16 @@
 	// Final means that the response belongs to the request although it does not name it. The connection is closed, since a
 	// copy of the response would belong to a later request just as well.
 	Final
+	// Contradictory means that fields of the response contradict each other, so that it proves nothing.
+	Contradictory
 )
 
 // ErrUnnamed is returned for a response that names no request and may belong to an earlier one on its connection.
 var ErrUnnamed = errors.New("the response names no request, and the connection was used before")
 
+// ErrContradictory is returned for a response whose fields contradict each other.
+var ErrContradictory = errors.New("the fields of the response contradict each other")
+
 // Attempts records the connections on which a request was sent. It is not safe for concurrent use.
 type Attempts struct{ conns []*conn }
 
--- a/internal/wire/match_enumer.go
+++ b/internal/wire/match_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _MatchName = "ownotherunnamedfinal"
+const _MatchName = "ownotherunnamedfinalcontradictory"
 
-var _MatchIndex = [...]uint8{0, 3, 8, 15, 20}
+var _MatchIndex = [...]uint8{0, 3, 8, 15, 20, 33}
 
-const _MatchLowerName = "ownotherunnamedfinal"
+const _MatchLowerName = "ownotherunnamedfinalcontradictory"
 
 func (i Match) String() string {
 	if i < 0 || i >= Match(len(_MatchIndex)-1) {
@@ -28,9 +28,10 @@
 	_ = x[Other-(1)]
 	_ = x[Unnamed-(2)]
 	_ = x[Final-(3)]
+	_ = x[Contradictory-(4)]
 }
 
-var _MatchValues = []Match{Own, Other, Unnamed, Final}
+var _MatchValues = []Match{Own, Other, Unnamed, Final, Contradictory}
 
 var _MatchNameToValueMap = map[string]Match{
 	_MatchName[0:3]:        Own,
@@ -41,6 +42,8 @@
 	_MatchLowerName[8:15]:  Unnamed,
 	_MatchName[15:20]:      Final,
 	_MatchLowerName[15:20]: Final,
+	_MatchName[20:33]:      Contradictory,
+	_MatchLowerName[20:33]: Contradictory,
 }
 
 var _MatchNames = []string{
@@ -48,6 +51,7 @@
 	_MatchName[3:8],
 	_MatchName[8:15],
 	_MatchName[15:20],
+	_MatchName[20:33],
 }
 
 // MatchString retrieves an enum value from the enum constants string name.
