--- a/internal/relay/memory_test.go
+++ b/internal/relay/memory_test.go
@@ -31,7 +31,11 @@
 }
 
 var _ = Describe("the memory of a relay", func() {
-	const large = 6 << 20
+	const (
+		large = 6 << 20
+		// maxLogLine is the largest length of a line of the log, in bytes.
+		maxLogLine = 4 << 10
+	)
 
 	// Guards against a process that exceeds its memory and is ended: many servers send large bodies at once, or bodies
 	// without an end.
@@ -60,6 +64,32 @@
 		Entry("until the connection closes", ""),
 	)
 
+	// Guards against a process that exceeds its memory and is ended: servers send bytes without end that are no response, and
+	// the process keeps them, also in its log.
+	DescribeTable("is bounded, however many servers send bytes without end",
+		func(r responder) {
+			f := newFixture()
+			f.view.Config.Match("yards.example", "/book/1").Timeout = 2 * time.Second
+			f.addServer("s-1", bookings, newFakeServer(r))
+			before := liveBytes()
+			for range 40 {
+				f.dial().send("POST", "/book/1", "", "")
+			}
+			ended := func() int { return strings.Count(f.log.String(), "request-ended") }
+			Eventually(ended, "5s", "5ms").Should(Equal(40))
+			Expect(liveBytes()).To(BeNumerically("<", before+bodyMemory))
+			for _, line := range strings.Split(f.log.String(), "\n") {
+				Expect(len(line)).To(BeNumerically("<", maxLogLine))
+			}
+		},
+		Entry("in a header", endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n", "X-Filler: abc\r\n")),
+		Entry("after a line that is no status line", endless("%s is not HTTP\r\n", "\xff")),
+		Entry("in a status line", endless("HTTP/1.1 200 %s", "x")),
+		Entry("in interim responses", endless("HTTP/1.1 100 Continue\r\nX: %s\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n")),
+		Entry("in a chunk extension", endless(chunkedHead+"4;x=", "x")),
+		Entry("in a trailer", endless(chunkedHead+"0\r\n", "X-Filler: abc\r\n")),
+	)
+
 	// Guards against a response of a server that ran the request being replaced by an error because other bodies use the
 	// memory.
 	It("leaves room for small responses", func() {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -79,6 +79,9 @@
 	c.Close()
 }
 
+// chunkedHead is the header of a successful response with a chunked body.
+const chunkedHead = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 // endless returns a responder that repeats a text after a beginning until the connection is closed.
 func endless(begin, text string) responder {
 	return func(c net.Conn, id string) {
@@ -369,7 +372,14 @@
 		Entry("endless header", endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n", "X-Filler: abc\r\n")),
 		Entry("endless interim responses", endless("HTTP/1.1 100 Continue\r\nRequest-Id: %s\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n")),
 		Entry("endless body without a length", endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\n\r\n", "x")),
-		Entry("endless chunked body", endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n")),
+		Entry("endless chunked body", endless(chunkedHead, "4\r\nabcd\r\n")),
+		Entry("endless empty lines", endless("%.0s", "\r\n")),
+		Entry("endless status line", endless("HTTP/1.1 200 %s", "x")),
+		Entry("endless field", endless("HTTP/1.1 200 OK\r\nRequest-Id: %s", "x")),
+		Entry("endless length", endless("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: ", "0")),
+		Entry("endless chunk size", endless(chunkedHead, "0")),
+		Entry("endless chunk extension", endless(chunkedHead+"4;x=", "x")),
+		Entry("endless trailer", endless(chunkedHead+"0\r\n", "X-Filler: abc\r\n")),
 	)
 
 	// Guards against a request that outlives the timeout of its rule, and against a server that is told a
