relay, front: A stopping process rejects what may last until after its end

Cause: the process takes requests for 2.5 s after SIGTERM, and what has begun to arrive even later, and nothing compared their deadlines with the end of the grace period. Class: work is accepted without asking whether the time that is left suffices.

Change: from SIGTERM on, a request whose deadline is later than the end of the process is rejected (503, reason-stopping, Retry-After) before each sending, and so has not run. What is cut all the same, since it was passed on before SIGTERM with a longer deadline, gets its 502 before the process ends.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -41,6 +41,8 @@
 	// unreadyDelay is how long a stopping process still accepts connections while it reports that it is not
 	// ready. The load balancer has checked its readiness twice by then.
 	unreadyDelay = 2500 * time.Millisecond
+	// cutTime is how long a stopping process waits for the error responses to the requests that it has cut.
+	cutTime = 100 * time.Millisecond
 	// stopMargin is how long before the end of the stop time a stopping process closes what is left.
 	stopMargin = 300 * time.Millisecond
 	// bodyShare is the share of the process's memory for bodies of requests and responses. Buffers that were freed use
@@ -247,24 +249,30 @@
 
 // Stop shuts the process down gracefully. It reports that the process is not ready, keeps accepting requests
 // until the load balancer has noticed, and returns when all connections are closed or the stop time is almost
-// over.
+// over. Requests whose deadline is later than that are rejected. Those that it had passed on before get an error response.
 func (p *Process) Stop() {
 	began := time.Now()
 	p.log.Info().Int("connections", p.server.Connections()).Msg("stopping")
 	close(p.stopping)
-	p.server.Drain()
+	end := began.Add(p.stopTime() - stopMargin)
+	p.server.Drain(end)
 	p.control.Stop()
 	time.Sleep(unreadyDelay - time.Since(began))
 	p.server.StopAccepting()
-	end := began.Add(p.stopTime() - stopMargin)
-	for p.server.Connections() > 0 && time.Now().Before(end) {
-		time.Sleep(stopPollInterval)
-	}
+	p.awaitConnections(end)
 	p.log.Info().Int("connections", p.server.Connections()).Dur("took-ms", time.Since(began)).Msg("stopped")
 	for _, s := range p.auxServers {
 		s.listener.Close()
 	}
 	p.relay.Close()
+	p.awaitConnections(time.Now().Add(cutTime))
 	p.keys.Close()
 	p.objects.Close()
 }
+
+// awaitConnections waits until all connections of callers are closed, until a given time at most.
+func (p *Process) awaitConnections(end time.Time) {
+	for p.server.Connections() > 0 && time.Now().Before(end) {
+		time.Sleep(stopPollInterval)
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -13,6 +13,9 @@
 // maxSends is the largest number of times that a request is sent to servers, refusals included.
 const maxSends = 4
 
+// errStopping is the error of an attempt that was not sent because this process stops before the deadline of the request.
+var errStopping = errors.New("the process stops before the deadline of the request")
+
 // send sends the request to a server and reads the server's response.
 func (x *exchange) send(ctx context.Context, b *backend) (ResponseMeta, error) {
 	o := x.relay.options
@@ -27,6 +30,9 @@
 			if left < minTimeLeft {
 				return context.DeadlineExceeded
 			}
+			if x.mayOutlastProcess() {
+				return errStopping
+			}
 			if x.service.turnsAway(o.Clock.Now(), x.arrived, b) {
 				return errTurnedAway
 			}
@@ -119,6 +125,9 @@
 	case errors.Is(ctx.Err(), context.Canceled):
 		x.reason = ReasonGone
 		return true
+	case errors.Is(err, errStopping):
+		x.giveUp(ReasonStopping)
+		return true
 	case err != nil && x.runs == 0:
 		if x.allowRetry(ctx, false) {
 			return false
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -91,6 +91,10 @@
 	}
 	x.service.countRequest(x.rule.Priority)
 	x.deadline = x.arrived.Add(x.timeout())
+	if x.mayOutlastProcess() {
+		x.respondNotRun(ReasonStopping, shortRetryAfter)
+		return
+	}
 	ctx, cancel := context.WithDeadline(ctx, x.deadline.Add(responseGrace))
 	defer cancel()
 	x.removeHopByHop()
@@ -124,6 +128,11 @@
 	return timeout
 }
 
+// mayOutlastProcess reports whether the request may last until after the end of this process, which would cut it.
+func (x *exchange) mayOutlastProcess() bool {
+	return x.relay.endsBefore(x.deadline.Add(responseGrace))
+}
+
 // removeHopByHop removes the hop-by-hop header fields from the request.
 func (x *exchange) removeHopByHop() {
 	h := &x.request.Header
@@ -167,7 +176,7 @@
 		started := time.Now()
 		meta, err := x.send(ctx, b)
 		result := pick.Result{Latency: time.Since(started), Failed: err != nil || meta.NotRun}
-		if errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, errTurnedAway) {
+		if errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, errTurnedAway) || errors.Is(err, errStopping) {
 			result.Ignore = true
 		}
 		if err == nil && !meta.NotRun && x.response.StatusCode() >= fasthttp.StatusInternalServerError {
--- a/internal/relay/listen.go
+++ b/internal/relay/listen.go
@@ -79,8 +79,12 @@
 	delete(s.conns, c)
 }
 
-// Drain begins a graceful shutdown: from now on, every response closes its connection.
-func (s *Server) Drain() { s.draining.Store(true) }
+// Drain begins a graceful shutdown that ends at the given time: from now on, every response closes its connection, and
+// requests that may last longer are rejected.
+func (s *Server) Drain(end time.Time) {
+	s.draining.Store(true)
+	s.relay.SetEnd(end)
+}
 
 // StopAccepting closes the listener and the connections without a request in flight.
 func (s *Server) StopAccepting() {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,7 +12,7 @@
 //	if err != nil {
 //		return err
 //	}
-//	server.Drain()         // responses close their connections
+//	server.Drain(end)      // responses close their connections, and what may last until after the end is rejected
 //	server.StopAccepting() // once the load balancer sends no more connections
 //	r.Close()
 package relay
@@ -142,6 +142,8 @@
 	services map[assign.ServiceID]*service
 	splits   map[*route.Rule]*split
 	permits  *quota.Permits
+	// end is when the process ends, the zero time while that is not known.
+	end time.Time
 }
 
 // New returns a Relay that forwards requests according to the latest View in Options.Views.
@@ -173,6 +175,21 @@
 	r.applied = nil
 }
 
+// SetEnd sets the time when the process ends. From now on, requests that may last longer are rejected instead of being sent
+// to a server.
+func (r *Relay) SetEnd(end time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.end = end
+}
+
+// endsBefore reports whether the process ends before the given time.
+func (r *Relay) endsBefore(t time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.end.IsZero() && r.end.Before(t)
+}
+
 // Close closes the connections to servers.
 func (r *Relay) Close() {
 	r.mu.Lock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -270,7 +270,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	server, r := f.server, f.relay
 	DeferCleanup(func() {
-		server.Drain()
+		server.Drain(time.Now())
 		server.StopAccepting()
 		r.Close()
 	})
@@ -624,7 +624,7 @@
 		c, idle := f.dial(), f.dial()
 		c.send("POST", "/book/1", "", "")
 		Eventually(s.requests).Should(Equal(1))
-		f.server.Drain()
+		f.server.Drain(time.Now().Add(10 * time.Second))
 		f.server.StopAccepting()
 		close(release)
 		response := c.receive()
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -16,6 +16,12 @@
 	entryLifetime = 3 * heartbeat
 )
 
+const (
+	// rejectedPercent is the percentage of requests that servers reject, and copiedPercent that of answers that they send again.
+	rejectedPercent = 40
+	copiedPercent   = 30
+)
+
 // maxConfigVersions is the maximum number of configuration versions in one run.
 const maxConfigVersions = 8
 
@@ -164,8 +170,8 @@
 	p.record("copies of answers")
 	servers := p.harness.liveBackends()
 	for _, b := range servers {
-		b.CopyAnswers(10)
-		b.Reject(20)
+		b.CopyAnswers(copiedPercent)
+		b.Reject(rejectedPercent)
 	}
 	p.afterFunc(p.randomDuration(1000, 4000), func() {
 		for _, b := range servers {
