--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -86,14 +86,14 @@
 	}
 }
 
-// verifyNotLost checks that the caller received an answer that a server wrote, unless a fault affected the
+// verifyNotLost checks that the caller received an answer to a request that a server ran, unless a fault affected the
 // entry process, the server or the server's proxy.
 func (v *verifier) verifyNotLost(a *attempt) {
 	if a.unsent || a.timedOut || a.status != 0 || a.process.disrupted {
 		return
 	}
 	for _, r := range v.runs[a.id] {
-		if r.Answered && !r.backend.disrupted && r.backend.proxy.undisturbedSince(a.sent.Add(-undisturbedTime)) {
+		if !r.backend.disrupted && r.backend.proxy.undisturbedSince(a.sent.Add(-undisturbedTime)) {
 			v.harness.fail("request %s ran at %s, but %s closed the connection without an answer (SIGTERM at %s)",
 				a.id, r.Server, a.entry.name, a.process.stopping.Format(time.TimeOnly))
 		}
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -37,6 +37,7 @@
 func (p *faultPlan) record(text string) { p.faults = append(p.faults, text) }
 
 func (p *faultPlan) run() {
+	p.harness.straggle(true)
 	for time.Now().Before(p.until) {
 		p.inject(p.random.IntN(17))
 		time.Sleep(p.randomDuration(150, 900))
@@ -243,6 +244,7 @@
 // endFaults ends every fault that is still active.
 func (p *faultPlan) endFaults() {
 	p.harness.store.SetFault(site.StoreFault{})
+	p.harness.straggle(false)
 	for _, e := range p.harness.entries {
 		e.storeProxy.setMode(forward)
 		e.signal(syscall.SIGCONT)
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -21,6 +21,9 @@
 	ledger = "ledger"
 	// requestTime is how long a server works on a request.
 	requestTime = 5 * time.Millisecond
+	// longRequestTime is how long a server works on longRequestPercent of the requests.
+	longRequestTime    = 2 * time.Second
+	longRequestPercent = 2
 	// maxClockDrift is the largest rate error of a server's clock that the platform allows.
 	maxClockDrift = 0.02
 	// keyCount is the number of different keys of requests.
@@ -51,6 +54,8 @@
 	backends      []*backend
 	backendCount  int
 	configVersion int
+	// straggling reports whether some requests take long.
+	straggling bool
 	// configText is the latest configuration. serverEntries has the latest entries of the servers, "" for those removed.
 	configText    string
 	serverEntries map[string]string
@@ -103,7 +108,10 @@
 	}
 	drift := maxClockDrift * float64(h.backendCount%2)
 	h.mu.Unlock()
-	s, err := site.NewServer(site.ServerOptions{ID: id, Service: service, Born: born, Work: requestTime, SlowClock: drift})
+	s, err := site.NewServer(site.ServerOptions{
+		ID: id, Service: service, Born: born, Work: requestTime, SlowClock: drift,
+		LongWork: longRequestTime,
+	})
 	if err != nil {
 		return err
 	}
@@ -115,6 +123,9 @@
 	p.setTarget(s.Address())
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.straggling {
+		s.Straggle(longRequestPercent)
+	}
 	h.backends = append(h.backends, &backend{Server: s, proxy: p})
 	h.putEntry(id, s.Entry(p.address(), "ready"))
 	return nil
@@ -174,6 +185,20 @@
 	return slices.DeleteFunc(slices.Clone(h.backends), func(b *backend) bool { return b.killed })
 }
 
+// straggle lets some requests take long at all servers, or none.
+func (h *harness) straggle(on bool) {
+	percent := 0
+	if on {
+		percent = longRequestPercent
+	}
+	h.mu.Lock()
+	h.straggling = on
+	h.mu.Unlock()
+	for _, b := range h.liveBackends() {
+		b.Straggle(percent)
+	}
+}
+
 // crash kills a server without notice. Its entry in the store stays until the caller removes it or a new run
 // of the server overwrites it.
 func (h *harness) crash(b *backend) {
--- a/internal/stand/site/server.go
+++ b/internal/stand/site/server.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -23,6 +24,8 @@
 	Born int64
 	// Work is the time that each request takes to run.
 	Work time.Duration
+	// LongWork is the time that the requests take to run of which Straggle sets the percentage.
+	LongWork time.Duration
 	// SlowClock is the relative error of the clock that measures how long grants are held: 0.02 makes each hold
 	// last 2% longer.
 	SlowClock float64
@@ -56,6 +59,8 @@
 	lossPercent int
 	// copyPercent is the percentage of answers that are sent again, and rejectPercent that of requests that are rejected.
 	copyPercent, rejectPercent int
+	// longPercent is the percentage of requests that take long.
+	longPercent int
 	// limit is the value of the field with the request rate that the server takes, empty for none.
 	limit string
 	// arrivals are the times at which requests arrived, those that were rejected included.
@@ -124,6 +129,13 @@
 	s.lossPercent = percent
 }
 
+// Straggle makes the given percentage of the requests take ServerOptions.LongWork.
+func (s *Server) Straggle(percent int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.longPercent = percent
+}
+
 // NameLimit makes the server name the requests per second that it takes from all senders together in its responses. The
 // text is sent as it is; the empty text ends the limit.
 func (s *Server) NameLimit(text string) {
@@ -293,6 +305,15 @@
 	s.runEnded.Broadcast()
 }
 
+func (s *Server) workTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if rand.IntN(100) < s.longPercent {
+		return s.options.LongWork
+	}
+	return s.options.Work
+}
+
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
@@ -309,7 +330,7 @@
 		misdirect(w)
 		return
 	}
-	time.Sleep(s.options.Work)
+	time.Sleep(s.workTime())
 	if loseAnswer {
 		s.finish(run, false)
 		panic(http.ErrAbortHandler)
