relay: A request that is not idempotent goes to each run of a server once

Cause: a request ID names a request, not a sending. After a rejection the request was sent again to the same server (its key has one owner) on another connection. If the server sends its rejection once more there, nothing tells the copy from the answer. Until now only copies on the connection of the original were excluded.

Evidence: the new specs 'on another connection' for one and two rejections failed before (booking r-0 ran twice), the one for a success passed.

Change: after a rejection such a request goes to other runs of servers only; without one it is rejected, truly as not run, with a time to return. Idempotent requests are sent again as before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -70,7 +70,7 @@
 		x.runs++
 	}
 	if err == nil && meta.NotRun {
-		x.rejections = append(x.rejections, rejection{server: b.server.ID, trip: trip, head: headText(x.response)})
+		x.rejections = append(x.rejections, rejection{backend: b, server: b.server.ID, trip: trip, head: headText(x.response)})
 	}
 	return meta, err
 }
--- a/internal/relay/copy_test.go
+++ b/internal/relay/copy_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,10 +26,15 @@
 	late, copies int
 	// unnamed leaves the request ID out of the rejections.
 	unnamed bool
+	// anywhere sends the copies on any connection.
+	anywhere bool
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// attempts is the number of arrivals by booking, and runs that by request.
 	attempts map[string]int
 	runs     map[string]int
+	// sent are the answers on all connections.
+	sent []string
 }
 
 func (s *copyServer) serve(c net.Conn) {
@@ -39,10 +45,14 @@
 		if err := request.Read(reader); err != nil {
 			return
 		}
+		earlier := sent
+		if s.anywhere {
+			earlier = s.allSent()
+		}
 		answer := s.answer(string(request.Header.Peek("Request-Id")))
-		if i := len(sent) - s.late; i >= 0 {
+		if i := len(earlier) - s.late; i >= 0 {
 			for range s.copies {
-				fmt.Fprint(c, sent[i])
+				fmt.Fprint(c, earlier[i])
 			}
 		}
 		fmt.Fprint(c, answer)
@@ -50,11 +60,25 @@
 	}
 }
 
+func (s *copyServer) allSent() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent
+}
+
 func (s *copyServer) answer(id string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.attempts[id]++
-	if s.attempts[id] <= s.rejections {
+	answer := s.draw(id)
+	s.sent = append(s.sent, answer)
+	return answer
+}
+
+// draw returns the answer to the next arrival of a request.
+func (s *copyServer) draw(id string) string {
+	booking, _, _ := strings.Cut(id, ".")
+	s.attempts[booking]++
+	if s.attempts[booking] <= s.rejections {
 		name := "Request-Id: " + id + "\r\n"
 		if s.unnamed {
 			name = ""
@@ -113,17 +137,25 @@
 }
 
 var _ = Describe("a late copy of an answer", func() {
+	// maxCalls is the largest number of requests for one booking.
+	const maxCalls = 4
+
 	// Guards against a request that runs twice, or runs after it was refused, because the copy of an answer to an earlier
 	// attempt, or to another request, was taken for the answer to the last attempt.
 	DescribeTable("proves nothing about another attempt",
-		func(rejections, late, copies int, unnamed bool) {
-			s := &copyServer{rejections: rejections, late: late, copies: copies, unnamed: unnamed}
+		func(rejections, late, copies int, unnamed, anywhere bool) {
+			s := &copyServer{rejections: rejections, late: late, copies: copies, unnamed: unnamed, anywhere: anywhere}
 			f := newCopyFixture(s)
 			// Callers take turns on few connections, so that each request meets the copies of earlier answers.
 			callers := []*caller{f.dial(), f.dial(), f.dial()}
-			answered := 0
-			for i := range 30 {
-				c, id := callers[i%len(callers)], fmt.Sprintf("r-%d", i)
+			answered, done := 0, map[int]bool{}
+			for i := range 30 * maxCalls {
+				// A caller that was refused comes back with a new ID.
+				booking := i / maxCalls
+				if done[booking] {
+					continue
+				}
+				c, id := callers[booking%len(callers)], fmt.Sprintf("r-%d.%d", booking, i%maxCalls)
 				fmt.Fprintf(c, "POST /ledger/1 HTTP/1.1\r\nHost: yards.example\r\nShard-Key: 7\r\nRequest-Id: %s\r\nDeadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n", id)
 				response := c.receive()
 				s.mu.Lock()
@@ -134,6 +166,7 @@
 				case 200:
 					Expect(string(response.Body())).To(Equal(id))
 					answered++
+					done[booking] = true
 				}
 				s.mu.Unlock()
 			}
@@ -141,25 +174,34 @@
 				Expect(answered).To(Equal(30))
 			}
 		},
-		Entry("of a success", 0, 1, 1, false),
-		Entry("of a rejection", 1, 1, 1, false),
-		Entry("of two rejections", 2, 1, 1, false),
-		Entry("two answers late", 1, 2, 1, false),
-		Entry("three answers late", 2, 3, 1, false),
-		Entry("twice", 1, 1, 2, false),
-		Entry("more often than answers are skipped", 1, 1, 4, false),
-		Entry("of a rejection that is final", 4, 1, 1, false),
-		Entry("of a rejection that names no request", 1, 1, 1, true),
-		Entry("of two rejections that name no request, two answers late", 2, 2, 1, true),
+		Entry("of a success", 0, 1, 1, false, false),
+		Entry("of a rejection", 1, 1, 1, false, false),
+		Entry("of two rejections", 2, 1, 1, false, false),
+		Entry("two answers late", 1, 2, 1, false, false),
+		Entry("three answers late", 2, 3, 1, false, false),
+		Entry("twice", 1, 1, 2, false, false),
+		Entry("more often than answers are skipped", 1, 1, 4, false, false),
+		Entry("of a rejection that is final", 4, 1, 1, false, false),
+		Entry("of a rejection that names no request", 1, 1, 1, true, false),
+		Entry("of two rejections that name no request, two answers late", 2, 2, 1, true, false),
+		Entry("of a rejection, on another connection", 1, 1, 1, false, true),
+		Entry("of two rejections, on another connection", 2, 1, 1, false, true),
+		Entry("of a success, on another connection", 0, 1, 1, false, true),
 	)
 
 	// Guards against an answer to the last request of a caller that is taken for the answer to a request without an ID.
 	It("is not taken for the answer to a request without an ID", func() {
-		f := newCopyFixture(&copyServer{rejections: 1, late: 1, copies: 1})
+		s := &copyServer{rejections: 1, late: 1, copies: 1}
+		f := newCopyFixture(s)
 		c := f.dial()
-		for range 3 {
+		var statuses []int
+		for range 4 {
 			fmt.Fprint(c, "POST /ledger/1 HTTP/1.1\r\nHost: yards.example\r\nShard-Key: 7\r\nContent-Length: 0\r\n\r\n")
-			Expect(c.receive().StatusCode()).To(Equal(200))
+			statuses = append(statuses, c.receive().StatusCode())
 		}
+		Expect(statuses).To(Equal([]int{503, 200, 200, 200}))
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		Expect(s.runs[""]).To(Equal(3))
 	})
 })
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -173,6 +173,11 @@
 			x.service.hold(now, b, r.Free)
 			continue
 		}
+		if x.rejectedBy(b) {
+			x.service.done(now, b, pick.Result{Ignore: true})
+			x.giveUp(ReasonRefused)
+			return
+		}
 		started := time.Now()
 		meta, err := x.send(ctx, b)
 		result := pick.Result{Latency: time.Since(started), Failed: err != nil || meta.NotRun}
@@ -220,6 +225,10 @@
 			x.endLimited(r)
 			return
 		}
+		if x.rejectedBy(b) {
+			x.giveUp(ReasonRefused)
+			return
+		}
 		started, sends := time.Now(), x.sends
 		meta, err := x.send(ctx, b)
 		if err == nil && !meta.NotRun {
--- a/internal/relay/reject.go
+++ b/internal/relay/reject.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -15,9 +16,10 @@
 
 // rejection is the response of a server that says that it has not run the request, for the log.
 type rejection struct {
-	server assign.ServerID
-	trip   wire.RoundTrip
-	head   string
+	backend *backend
+	server  assign.ServerID
+	trip    wire.RoundTrip
+	head    string
 }
 
 // String returns the server, the connection, the position of the request on it, the number of responses that were skipped
@@ -32,6 +34,12 @@
 	return string(head[:min(len(head), maxHeadText)])
 }
 
+// rejectedBy reports whether a run of a server has rejected the request, which must not be sent to it again: a late copy of
+// its rejection could not be told from the answer.
+func (x *exchange) rejectedBy(b *backend) bool {
+	return !x.rule.Idempotent && slices.ContainsFunc(x.rejections, func(r rejection) bool { return r.backend == b })
+}
+
 // describeRejections returns the rejections of the request for a log line.
 func (x *exchange) describeRejections() string {
 	texts := make([]string, len(x.rejections))
