stand/mangle, soak: Servers and the store spoil the bytes of their answers

One seeded mangler below the message types now serves the stand-in servers and the stand-in store: copies, whole or cut at any byte, before the next answer or at once; answers that end at any byte, with the connection closed or open; bytes without end from any byte on; fields in another order or case, doubled, or without the ID; small pieces.

Not done: cmd/standin and the scenario language do not set it, the proxies do not use it, no fuzz targets.

--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -7,11 +7,13 @@
 //   - Loopback proxies delay, reset or silently drop connections, or drop only the answers.
 //   - Entry processes are killed, paused, stopped and reloaded by signals, and restarted when they end.
 //   - The store is down, slow, or loses the answers to writes. In some runs it comes back from an older copy.
-//   - Servers crash, leave, restart under the same name, at the same address or another, and lose answers or send
-//     them again, late. Their entries are late too. Every second server has a slow clock.
+//   - Servers crash, leave, restart under the same name, at the same address or another, reject requests and lose
+//     answers. Their entries are late too. Every second server has a slow clock. Some requests take long.
+//   - Servers and the store spoil the bytes of their answers, as package mangle describes.
 //   - The configuration changes.
 //
-// The test compares what callers received with what servers ran, and fails if a guarantee was violated.
+// The test compares what callers received with what servers ran, and fails if a guarantee was violated or a process used
+// more than its memory.
 // Connections between entry processes do not pass through proxies, so no network faults are injected there.
 //
 // # Usage
--- a/internal/soak/entry_test.go
+++ b/internal/soak/entry_test.go
@@ -19,6 +19,8 @@
 	portRangeStart = 17620
 	// gracePeriod is the time that a process has from SIGTERM until it must have ended.
 	gracePeriod = 6 * time.Second
+	// memoryMegabytes is the memory of a process.
+	memoryMegabytes = 284
 	// restartDelay is the time from the end of a process until it is started again.
 	restartDelay = 300 * time.Millisecond
 )
@@ -54,7 +56,7 @@
 listen: {front: "%s:%d", readyAddr: "%s:%d"}
 portRange: [%d, %d]
 heartbeatS: 1
-limits: {cpuShare: 1, cores: 1}
+limits: {cpuShare: 1, cores: 1, memoryMb: %d}
 platform: {address: %q}
 bounds: {drainS: 2, graceS: %g, maxHoldS: 10, retryBudgetRatio: 0.2, budgetSlack: 60, budgetWindowS: 10}
 `
@@ -67,7 +69,7 @@
 	}
 	e.settingsPath = filepath.Join(dir, e.name+".yaml")
 	text := fmt.Sprintf(settingsText, e.name, e.address, e.address, callerPort, e.address, readyPort,
-		portRangeStart, portRangeStart+1, storeProxy.address(), gracePeriod.Seconds())
+		portRangeStart, portRangeStart+1, memoryMegabytes, storeProxy.address(), gracePeriod.Seconds())
 	if err := os.WriteFile(e.settingsPath, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -105,6 +107,9 @@
 		if err != nil && !p.disrupted {
 			e.failures = append(e.failures, fmt.Sprintf("%s ended unexpectedly: %v", e.name, err))
 		}
+		if peak := peakMegabytes(p.command.ProcessState); peak > memoryMegabytes {
+			e.failures = append(e.failures, fmt.Sprintf("%s used %d MB", e.name, peak))
+		}
 		e.mu.Unlock()
 		if closing {
 			return
@@ -119,6 +124,15 @@
 	}
 }
 
+// peakMegabytes returns the largest memory that a process has used.
+func peakMegabytes(s *os.ProcessState) int64 {
+	usage, ok := s.SysUsage().(*syscall.Rusage)
+	if !ok {
+		return 0
+	}
+	return int64(usage.Maxrss) >> 10
+}
+
 func (e *entry) currentProcess() *process {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/samphiredrum/samphiredrum/internal/stand/mangle"
 	"github.com/samphiredrum/samphiredrum/internal/stand/site"
 )
 
@@ -16,10 +17,14 @@
 	entryLifetime = 3 * heartbeat
 )
 
-const (
-	// rejectedPercent is the percentage of requests that servers reject, and copiedPercent that of answers that they send again.
-	rejectedPercent = 40
-	copiedPercent   = 30
+// rejectedPercent is the percentage of requests that servers reject while they spoil answers.
+const rejectedPercent = 40
+
+var (
+	// serverFaults are the faults of the answers of servers.
+	serverFaults = mangle.Faults{Copy: 30, Join: 5, Cut: 3, Endless: 1, Fields: 15, Slice: 10}
+	// storeFaults are the faults of the answers of the store. It loses answers, but does not send one again.
+	storeFaults = mangle.Faults{Cut: 3, Endless: 1, Fields: 15, Slice: 10}
 )
 
 // maxConfigVersions is the maximum number of configuration versions in one run.
@@ -108,7 +113,7 @@
 		p.record("reload " + e.name)
 		e.signal(syscall.SIGHUP)
 	case 14:
-		p.injectCopies()
+		p.injectSpoiledAnswers()
 	case 15, 16:
 		p.injectQuickRestart()
 	}
@@ -166,17 +171,20 @@
 	}
 }
 
-// injectCopies lets all servers reject a part of the requests, and send a part of their answers again, late.
-func (p *faultPlan) injectCopies() {
-	p.record("copies of answers")
+// injectSpoiledAnswers lets all servers reject a part of the requests and spoil a part of their answers, and the store
+// spoil a part of its answers.
+func (p *faultPlan) injectSpoiledAnswers() {
+	p.record("spoiled answers")
+	p.harness.store.Mangle(storeFaults)
 	servers := p.harness.liveBackends()
 	for _, b := range servers {
-		b.CopyAnswers(copiedPercent)
+		b.Mangle(serverFaults)
 		b.Reject(rejectedPercent)
 	}
 	p.afterFunc(p.randomDuration(1000, 4000), func() {
+		p.harness.store.Mangle(mangle.Faults{})
 		for _, b := range servers {
-			b.CopyAnswers(0)
+			b.Mangle(mangle.Faults{})
 			b.Reject(0)
 		}
 	})
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -110,7 +110,7 @@
 	h.mu.Unlock()
 	s, err := site.NewServer(site.ServerOptions{
 		ID: id, Service: service, Born: born, Work: requestTime, SlowClock: drift,
-		LongWork: longRequestTime,
+		LongWork: longRequestTime, Seed: uint64(born),
 	})
 	if err != nil {
 		return err
--- a/internal/stand/site/server.go
+++ b/internal/stand/site/server.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"github.com/samphiredrum/samphiredrum/internal/stand/mangle"
 )
 
 // ServerOptions configure a Server.
@@ -29,6 +31,8 @@
 	// SlowClock is the relative error of the clock that measures how long grants are held: 0.02 makes each hold
 	// last 2% longer.
 	SlowClock float64
+	// Seed is the seed of the faults of the bytes that the server sends.
+	Seed uint64
 }
 
 // Run records one request that a server started to execute.
@@ -57,8 +61,9 @@
 	killed   bool
 	// lossPercent is the percentage of answers that are dropped after the request has run.
 	lossPercent int
-	// copyPercent is the percentage of answers that are sent again, and rejectPercent that of requests that are rejected.
-	copyPercent, rejectPercent int
+	// rejectPercent is the percentage of requests that are rejected.
+	rejectPercent int
+	mangler       *mangle.Mangler
 	// longPercent is the percentage of requests that take long.
 	longPercent int
 	// limit is the value of the field with the request rate that the server takes, empty for none.
@@ -83,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{options: o, listener: l, inFlight: map[*Run]struct{}{}}
+	s := &Server{options: o, listener: l, inFlight: map[*Run]struct{}{}, mangler: mangle.New(o.Seed)}
 	s.runEnded = sync.NewCond(&s.mu)
 	s.server = &http.Server{Handler: http.HandlerFunc(s.serve)}
 	s.group.Go(s.run)
@@ -92,7 +97,7 @@
 
 func (s *Server) run() {
 	// Serve returns an error when Kill closes the server.
-	_ = s.server.Serve(copyListener{s.listener, s})
+	_ = s.server.Serve(s.mangler.Listen(s.listener))
 }
 
 // Kill closes the server and its connections at once, as the loss of its process would.
--- a/internal/stand/site/store.go
+++ b/internal/stand/site/store.go
@@ -24,6 +24,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"github.com/samphiredrum/samphiredrum/internal/stand/mangle"
 )
 
 // watchPollInterval is the interval at which a waiting watch checks for changes.
@@ -58,6 +60,7 @@
 	revision uint64
 	objects  map[string]map[string]object
 	fault    StoreFault
+	mangler  *mangle.Mangler
 	// era is the number of times that the store came back from an older copy.
 	era uint64
 }
@@ -74,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{listener: l, revision: 1, objects: map[string]map[string]object{}}
+	s := &Store{listener: l, revision: 1, objects: map[string]map[string]object{}, mangler: mangle.New(uint64(l.Addr().(*net.TCPAddr).Port))}
 	s.server = &http.Server{Handler: http.HandlerFunc(s.serve)}
 	s.group.Go(s.run)
 	return s, nil
@@ -82,7 +85,7 @@
 
 func (s *Store) run() {
 	// Serve returns an error when Close closes the server.
-	_ = s.server.Serve(s.listener)
+	_ = s.server.Serve(s.mangler.Listen(s.listener))
 }
 
 // Close closes the store and its connections.
@@ -132,6 +135,9 @@
 	return c
 }
 
+// Mangle sets the faults of the bytes that the store sends.
+func (s *Store) Mangle(f mangle.Faults) { s.mangler.Set(f) }
+
 // SetFault replaces the faults of the store.
 func (s *Store) SetFault(f StoreFault) {
 	s.mu.Lock()
