--- a/internal/soak/entry_test.go
+++ b/internal/soak/entry_test.go
@@ -130,7 +130,7 @@
 	if !ok {
 		return 0
 	}
-	return int64(usage.Maxrss) >> 10
+	return usage.Maxrss >> 10
 }
 
 func (e *entry) currentProcess() *process {
