relay: Log every sending of a request, with what proved its outcome

The line of a request had its rejections only. It has all sendings now: server, run, connection, position, skipped answers, proof. The numbers of sendings and runs follow from that list, and are no longer counted beside it. Field rejections is now sendings.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -40,7 +40,6 @@
 		meta = ResponseMeta{}
 	}
 	if trip.Wrote {
-		x.sends++
 		x.hearLimit(b, meta, err)
 	}
 	if err == nil {
@@ -50,11 +49,8 @@
 			x.hearNotice(b, meta)
 		}
 	}
-	if trip.Wrote && meta.Proof != ProofNotRun {
-		x.runs++
-	}
-	if meta.Proof == ProofNotRun {
-		x.rejections = append(x.rejections, rejection{backend: b, server: b.server.ID, trip: trip, head: headText(x.response)})
+	if trip.Wrote {
+		x.recordSending(b, trip, meta.Proof, err)
 	}
 	return meta, err
 }
@@ -100,14 +96,14 @@
 	case errors.Is(err, errStopping):
 		x.giveUp(ReasonStopping)
 		return true
-	case err != nil && x.runs == 0:
+	case err != nil && x.runs() == 0:
 		if x.allowRetry(ctx, false) {
 			return false
 		}
 		x.giveUp(ReasonUnreachable)
 		return true
 	case err != nil:
-		if x.rule.Idempotent && x.runs < x.rule.Attempts && x.allowRetry(ctx, true) {
+		if x.rule.Idempotent && x.runs() < x.rule.Attempts && x.allowRetry(ctx, true) {
 			return false
 		}
 		x.giveUp(ReasonLost)
@@ -118,7 +114,7 @@
 		}
 		x.giveUp(ReasonRefused)
 		return true
-	case meta.Proof == ProofFailed && x.rule.Idempotent && x.runs < x.rule.Attempts && x.allowRetry(ctx, true):
+	case meta.Proof == ProofFailed && x.rule.Idempotent && x.runs() < x.rule.Attempts && x.allowRetry(ctx, true):
 		x.failedResponse = true
 		return false
 	}
@@ -129,7 +125,7 @@
 // allowRetry reports whether the request may be sent once more. If the last attempt wrote bytes to a server
 // (sent), the retry is taken from the retry budget.
 func (x *exchange) allowRetry(ctx context.Context, sent bool) bool {
-	if ctx.Err() != nil || x.sends >= maxSends || time.Until(x.deadline) < minTimeLeft {
+	if ctx.Err() != nil || len(x.sendings) >= maxSends || time.Until(x.deadline) < minTimeLeft {
 		return false
 	}
 	return !sent || x.service.takeRetry()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -54,12 +54,9 @@
 	requestMeta                   RequestMeta
 	rule                          *route.Rule
 	service                       *service
-	// sends is the number of attempts that wrote bytes of the request, and runs is the number of attempts in
-	// which a server may have run it.
-	sends, runs int
-	attempts    wire.Attempts
-	// rejections are the responses that say that the request has not run.
-	rejections []rejection
+	attempts                      wire.Attempts
+	// sendings are the attempts that wrote bytes of the request.
+	sendings   []sending
 	lastServer assign.ServerID
 	lastError  error
 	reason     Reason
@@ -226,7 +223,7 @@
 			x.giveUp(ReasonRefused)
 			return
 		}
-		started, sends := time.Now(), x.sends
+		started, sends := time.Now(), len(x.sendings)
 		meta, err := x.send(ctx, b)
 		if meta.Proof == ProofRan || meta.Proof == ProofFailed {
 			x.relay.options.ObserveRun(x.service.id, b.server.ID, time.Since(started))
@@ -237,7 +234,7 @@
 		if errors.Is(err, errNoPermit) || errors.Is(err, errTurnedAway) {
 			continue
 		}
-		if meta.Misdirected || x.sends == sends {
+		if meta.Misdirected || len(x.sendings) == sends {
 			// The owner cannot be reached, or the key has moved and this process does not know the new
 			// owner yet. Trying the same owner again cannot help, so this waits for another View.
 			if v = x.nextView(ctx, v, limit); v == nil {
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -67,7 +67,7 @@
 
 // endLimited ends a request that no server takes because of its limit.
 func (x *exchange) endLimited(r quota.Reservation) {
-	if x.runs > 0 {
+	if x.runs() > 0 {
 		x.giveUp(ReasonLost)
 		return
 	}
--- a/internal/relay/respond.go
+++ b/internal/relay/respond.go
@@ -37,7 +37,7 @@
 		x.prepareResponse()
 		return
 	}
-	if x.runs == 0 {
+	if x.runs() == 0 {
 		if time.Until(x.deadline) < minTimeLeft {
 			r = ReasonExpired
 		}
@@ -91,22 +91,29 @@
 		rule = x.rule.Name
 	}
 	x.relay.options.Meter.observe(rule, x.response.StatusCode(), x.reason, took)
-	if x.reason == ReasonNone && x.response.StatusCode() < fasthttp.StatusInternalServerError && x.sends == 1 {
+	if x.reason == ReasonNone && x.response.StatusCode() < fasthttp.StatusInternalServerError && len(x.sendings) == 1 {
 		return
 	}
-	e := x.logEvent().
-		Str("request", x.requestMeta.ID).Str("rule", rule).Int("status", x.response.StatusCode()).Stringer("reason", x.reason).
-		Int("sends", x.sends).Int("runs", x.runs).Str("server", string(x.lastServer)).Dur("took-ms", took)
+	e := x.logEvent()
+	if !e.Enabled() {
+		// The line is above the rate limit of the log.
+		return
+	}
+	e = e.Str("request", x.requestMeta.ID).Str("rule", rule).Int("status", x.response.StatusCode()).Stringer("reason", x.reason).
+		Int("sends", len(x.sendings)).Int("runs", x.runs()).Str("server", string(x.lastServer)).Dur("took-ms", took)
 	if x.requestMeta.HasKey {
 		e = e.Uint16("key", x.requestMeta.Key)
 	}
 	if !x.deadline.IsZero() {
 		e = e.Dur("left-ms", time.Until(x.deadline))
 	}
-	if len(x.rejections) > 0 {
-		e = e.Str("rejections", x.describeRejections())
+	if len(x.sendings) > 0 {
+		e = e.Str("sendings", x.describeSendings())
+	}
+	if x.lastError != nil {
+		e = e.Str("error", shorten(x.lastError.Error(), maxErrorText))
 	}
-	e.AnErr("error", x.lastError).Msg("request-ended")
+	e.Msg("request-ended")
 }
 
 func (x *exchange) logEvent() *zerolog.Event {
