samphiredrum explain: From the ID of a request to its cause

'samphiredrum explain --id ID FILE...' prints from the logs of all processes where a request came in, each sending with its proof, what the caller was told, and the events of its servers, the leader and the store around it. Not done: the plot, and the three kinds of OPERATIONS.md worked with it.

--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -62,7 +62,7 @@
 // commands returns all commands of the program.
 func commands() []*cobra.Command {
 	return []*cobra.Command{
-		checkCommand(), configCommand(), demoCommand(), drainCommand(), entryCommand(), serveCommand(),
+		checkCommand(), configCommand(), demoCommand(), drainCommand(), entryCommand(), explainCommand(), serveCommand(),
 		statusCommand(), timelineCommand(), versionCommand(),
 	}
 }
