--- a/pkg/shard/sim_test.go
+++ b/pkg/shard/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"iter"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -11,6 +12,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	concurrent "github.com/sourcegraph/conc/iter"
 
 	"github.com/samphiredrum/samphiredrum/pkg/assign"
 	"github.com/samphiredrum/samphiredrum/pkg/lease"
@@ -63,6 +65,7 @@
 
 // sim simulates a decider with servers, a store and a network. Only one decider is active at a time.
 type sim struct {
+	seed    uint64
 	random  *rand.Rand
 	now     time.Time
 	servers []*fakeServer
@@ -108,7 +111,7 @@
 }
 
 func newSim(seed uint64) *sim {
-	s := &sim{random: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1000, 0), storeOK: true}
+	s := &sim{seed: seed, random: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1000, 0), storeOK: true}
 	for range 6 {
 		s.addServer()
 	}
@@ -116,6 +119,26 @@
 	return s
 }
 
+// seedsBelow returns the seeds from 0 to n-1.
+func seedsBelow(n uint64) iter.Seq[uint64] {
+	return func(yield func(uint64) bool) {
+		for seed := range n {
+			if !yield(seed) {
+				return
+			}
+		}
+	}
+}
+
+// playAll plays simulations at the same time, and returns them in the order of their seeds.
+func playAll(seeds []uint64, play func(s *sim)) []*sim {
+	return concurrent.Map(seeds, func(seed *uint64) *sim {
+		s := newSim(*seed)
+		play(s)
+		return s
+	})
+}
+
 func simKey(i int) uint16 { return uint16(i * (shard.LastKey + 1) / simKeys) }
 
 func (s *sim) addServer() {
@@ -509,11 +532,10 @@
 		if testing.Short() {
 			seeds = 30
 		}
+		list := slices.Collect(seedsBelow(seeds))
 		releases := 0
-		for seed := range seeds {
-			s := newSim(seed)
-			s.run(60 * time.Second)
-			Expect(s.failures).To(BeEmpty(), "seed %d", seed)
+		for i, s := range playAll(list, func(s *sim) { s.run(60 * time.Second) }) {
+			Expect(s.failures).To(BeEmpty(), "seed %d", list[i])
 			releases += s.releases
 		}
 		Expect(releases).To(BeNumerically(">", 500), "the runs must contain moves, each of which releases keys")
@@ -526,18 +548,17 @@
 		// server that was leaving, although its tables were older than that. The others showed faults of earlier versions, for
 		// which recover_test.go has tests now.
 		seeds := []uint64{944, 1438, 1930, 1970, 534, 662, 5577}
-		for seed := range uint64(150) {
-			seeds = append(seeds, seed)
-		}
+		seeds = slices.AppendSeq(seeds, seedsBelow(150))
 		if testing.Short() {
 			seeds = seeds[:30]
 		}
 		eras := 0
-		for _, seed := range seeds {
-			s := newSim(seed)
+		played := playAll(seeds, func(s *sim) {
 			s.restoring = true
 			s.run(60 * time.Second)
-			Expect(s.failures).To(BeEmpty(), "seed %d", seed)
+		})
+		for i, s := range played {
+			Expect(s.failures).To(BeEmpty(), "seed %d", seeds[i])
 			eras += s.era
 		}
 		Expect(eras).To(BeNumerically(">", 3*len(seeds)))
@@ -545,9 +566,9 @@
 
 	// Guards against keys that stay without an owner after all faults have ended.
 	It("gives every key an owner once the faults have ended", func() {
-		for seed := range uint64(25) {
-			s := newSim(seed)
-			s.restoring = seed%2 == 0
+		seeds := slices.Collect(seedsBelow(25))
+		played := playAll(seeds, func(s *sim) {
+			s.restoring = s.seed%2 == 0
 			s.run(30 * time.Second)
 			s.storeOK = true
 			for _, srv := range s.servers {
@@ -563,7 +584,9 @@
 					s.write(s.term, s.decider)
 				}
 			}
-			Expect(s.heldKeys()).To(Equal(simKeys), "seed %d", seed)
+		})
+		for i, s := range played {
+			Expect(s.heldKeys()).To(Equal(simKeys), "seed %d", seeds[i])
 		}
 	})
 })
