pkg/shard: Believe sooner that an overloaded server is faster again

Cause: the time per request of a server is averaged over 60 requests. After some calls of 2 s the leader believes that a server can run little, and refuses most of its requests; the few that remain show too slowly that it is fast. The class: an estimate that starves itself of samples.

Change: a report of an overloaded server with less than half of its average counts for a quarter at least.

--- a/pkg/shard/balance_test.go
+++ b/pkg/shard/balance_test.go
@@ -442,6 +442,25 @@
 		relieved, _ := c.decider.View()[simService].Lookup(100)
 		Expect(relieved.Shed).To(BeZero())
 	})
+
+	// Guards against a server that is thought to be slow after a few long requests, for as long as the requests that are not
+	// refused are too few to show that it is fast again.
+	It("sheds no more soon after the requests take less time again", func() {
+		c := newCluster()
+		long := shard.Work{Requests: 20, Time: 40 * time.Second}
+		c.step(shard.WorkDone{Service: simService, Work: map[assign.ServerID]shard.Work{"s-0": long, "s-1": long}})
+		keys := []uint16{100, 100, 100, 100, 7000}
+		c.run(2*time.Second, keys)
+		busy, _ := c.decider.View()[simService].Lookup(100)
+		Expect(busy.Shed).To(BeNumerically(">=", shard.ShedSteps*3/4))
+		// 2.5 of 40 requests a second are not refused.
+		for range 10 {
+			c.step(shard.WorkDone{Service: simService, Work: map[assign.ServerID]shard.Work{"s-0": {Requests: 1, Time: 10 * time.Millisecond}}})
+			c.run(400*time.Millisecond, keys)
+		}
+		relieved, _ := c.decider.View()[simService].Lookup(100)
+		Expect(relieved.Shed).To(BeZero())
+	})
 })
 
 var _ = Describe("the first owners of keys", func() {
--- a/pkg/shard/pace.go
+++ b/pkg/shard/pace.go
@@ -9,6 +9,10 @@
 const (
 	// averageWindow is the number of requests over which the time per request of a server is averaged.
 	averageWindow = 60
+	// fasterRatio is the time per request, relative to the average of an overloaded server, below which a report has at least
+	// the weight fasterWeight: most requests are refused then, so that few show that the server is faster.
+	fasterRatio  = 0.5
+	fasterWeight = 0.25
 	// minSlowdown and maxSlowdown bound the result of slowdown, and so how far measured times change the capacity
 	// of a server.
 	minSlowdown = 0.4
@@ -43,6 +47,9 @@
 			continue
 		}
 		weight := min(1, float64(w.Requests)/averageWindow)
+		if overloaded[id] && perRequest < fasterRatio*t.byServer[id] {
+			weight = max(weight, fasterWeight)
+		}
 		t.byServer[id] += weight * (perRequest - t.byServer[id])
 		// Each server moves the mean by only a fraction of the weight, since all servers contribute to it.
 		t.mean += weight / float64(max(1, len(t.byServer))) * (perRequest - t.mean)
