--- a/internal/cmds/explain.go
+++ b/internal/cmds/explain.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"bytes"
 	"os"
 
 	"github.com/spf13/cobra"
@@ -41,10 +42,9 @@
 }
 
 func readLog(t *trace.Trace, name string) error {
-	file, err := os.Open(name)
+	text, err := os.ReadFile(name)
 	if err != nil {
 		return err
 	}
-	defer file.Close()
-	return t.Read(name, file)
+	return t.Read(name, bytes.NewReader(text))
 }
--- a/internal/stand/mangle/mangle.go
+++ b/internal/stand/mangle/mangle.go
@@ -91,6 +91,8 @@
 	return none
 }
 
+//go:generate enumer -type=fault -transform=kebab -output=fault_enumer.go
+
 // fault is the fault of one answer, in the order of the fields of Faults.
 type fault int
 
