relay: Reject a request at once that its owner has rejected

Since a request that is not idempotent goes to each run of a server once, one that the owner of its key has rejected waited an eighth of its objective for another owner, and took a repeat from the budget, though the owner had not changed. It is rejected at once now. Whether the server was already asked is checked before a request rate is reserved.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -165,16 +165,16 @@
 			x.endWithoutServer(now)
 			return
 		}
-		if r := x.permit(ctx, b, 0); !r.Granted {
-			refusal = &r
-			x.service.hold(now, b, r.Free)
-			continue
-		}
 		if x.rejectedBy(b) {
 			x.service.done(now, b, pick.Result{Ignore: true})
 			x.giveUp(ReasonRefused)
 			return
 		}
+		if r := x.permit(ctx, b, 0); !r.Granted {
+			refusal = &r
+			x.service.hold(now, b, r.Free)
+			continue
+		}
 		started := time.Now()
 		meta, err := x.send(ctx, b)
 		result := pick.Result{Latency: time.Since(started), Failed: meta.Proof != ProofRan}
@@ -214,20 +214,24 @@
 			x.endLimited(quota.Reservation{RetryAfter: wait})
 			return
 		}
+		if x.rejectedBy(b) {
+			x.giveUp(ReasonRefused)
+			return
+		}
 		if r := x.permit(ctx, b, x.objectiveShare(permitWaitShare)); !r.Granted {
 			x.lastServer = b.server.ID
 			x.endLimited(r)
 			return
 		}
-		if x.rejectedBy(b) {
-			x.giveUp(ReasonRefused)
-			return
-		}
 		started, sends := time.Now(), len(x.sendings)
 		meta, err := x.send(ctx, b)
 		if meta.Proof == ProofRan || meta.Proof == ProofFailed {
 			x.relay.options.ObserveRun(x.service.id, b.server.ID, time.Since(started))
 		}
+		if !meta.Misdirected && x.rejectedBy(b) && x.owner() == b {
+			x.giveUp(ReasonRefused)
+			return
+		}
 		if x.finish(ctx, meta, err) {
 			return
 		}
@@ -251,6 +255,13 @@
 	}
 }
 
+// owner returns the owner of the request's key in the latest View, nil if there is none.
+func (x *exchange) owner() *backend {
+	v := x.relay.refresh()
+	b, _ := x.service.owner(x.relay.options.Clock.Now(), v, x.requestMeta.Key)
+	return b
+}
+
 // endWithoutServer ends a request for which no server can be picked.
 func (x *exchange) endWithoutServer(now time.Time) {
 	if wait := x.service.allClosedFor(now); wait > 0 {
