back: An answer to a control call counts for that call only

A late copy of 'not-run' for one call was taken for the outcome of another one that runs, which may then be sent again.

Change: a control call has an ID, which the server echoes.

--- a/internal/back/control.go
+++ b/internal/back/control.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -185,7 +187,10 @@
 		request.Header.SetContentType("application/json")
 		request.SetBody(encoded)
 	}
+	id := strconv.FormatUint(rand.Uint64(), 16)
+	request.Header.Set(headerRequestID, id)
 	trip, err := c.control.Do(ctx, request, response, wire.Hooks{
+		Match: func(r *fasthttp.Response) wire.Match { return matchControl(r, id) },
 		After: func() error { return decode(response, out) },
 	})
 	if err != nil {
@@ -194,6 +199,17 @@
 	return trip, response.StatusCode(), nil
 }
 
+// matchControl tells whether an answer belongs to the control call with the ID.
+func matchControl(r *fasthttp.Response, id string) wire.Match {
+	switch string(r.Header.Peek(headerRequestID)) {
+	case id:
+		return wire.Own
+	case "":
+		return wire.Unnamed
+	}
+	return wire.Other
+}
+
 func decode(r *fasthttp.Response, out any) error {
 	if s := r.StatusCode(); s != fasthttp.StatusOK && s != fasthttp.StatusConflict {
 		return fmt.Errorf("%w %d", errBadStatus, s)
--- a/internal/stand/control.go
+++ b/internal/stand/control.go
@@ -4,7 +4,13 @@
 	"github.com/valyala/fasthttp"
 )
 
+// headerRequestID names a call, and its answer.
+const headerRequestID = "Request-Id"
+
 func (b *Backend) serveControl(ctx *fasthttp.RequestCtx, path string) {
+	if id := ctx.Request.Header.Peek(headerRequestID); len(id) > 0 {
+		ctx.Response.Header.SetBytesV(headerRequestID, id)
+	}
 	switch path {
 	case "/control/grant":
 		b.serveGrant(ctx)
--- a/internal/stand/serve.go
+++ b/internal/stand/serve.go
@@ -69,7 +69,7 @@
 
 func (b *Backend) write(ctx *fasthttp.RequestCtx, r reply) {
 	h := &ctx.Response.Header
-	h.Set("Request-Id", r.id)
+	h.Set(headerRequestID, r.id)
 	h.Set("Server-Clock", strconv.FormatInt(b.clock(), 10))
 	h.Set("Incarnation", b.incarnation)
 	if r.reason != "" {
@@ -98,7 +98,7 @@
 func (b *Backend) readJob(ctx *fasthttp.RequestCtx) (*job, error) {
 	h := &ctx.Request.Header
 	j := &job{
-		id:           string(h.Peek("Request-Id")),
+		id:           string(h.Peek(headerRequestID)),
 		service:      string(h.Peek("Service")),
 		hashText:     string(h.Peek("Key-Hash")),
 		work:         b.options.Run,
